--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,875 @@
+package logic
+
+// The interface of this module (settings, events, actions) is in logic/api.go; every decision is here.
+//
+// The mechanism is Gage's (docs/design.md): a queue per volume with a balance in units, visited in
+// weighted round-robin; what room is left is shared by reservation; a window bounds each node. Read on
+// in this order: constants, state, events, cycle, node window, guards of the rules.
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+)
+
+const (
+	ms  Micros = 1000
+	sec Micros = 1000 * ms
+
+	// cycle is Gage's polling period; batches that change something also run one.
+	cycle = 10 * ms
+	// burst caps a queue's balance, in seconds of its credit, with one largest request as the least.
+	burst = 0.2
+	// answerBy is how long before its dropDead a held request gets its final answer: a cycle and change.
+	answerBy = cycle + 5*ms
+
+	// windowStart, windowLeast and windowMost bound the requests a host has out at one node.
+	windowStart = 3.0
+	windowLeast = 1.0
+	windowMost  = 8.0
+	// aimPart: an answer that took more than this part of its class's aim counts as past it, as the
+	// wait at the node has to leave room for the wait at the host.
+	aimPart = 0.5
+	// smooth is the weight of a new sample in a node's smoothed figures.
+	smooth = 0.2
+	// latePart of a node's window may hold requests that can no longer make their aim.
+	latePart = 0.5
+	// sick is the smoothed share of failed attempts from which a node gets no new objects.
+	sick = 0.2
+
+	// retryPause is the wait before a further attempt; it doubles with each.
+	retryPause = 30 * ms
+	// meterTime smooths what others serve; meterOld is the age at which such news counts as none.
+	meterTime = 1 * sec
+	meterOld  = 3 * sec
+	// idleAge is how long a volume must be idle before its entry is dropped.
+	idleAge = 30 * sec
+	// askAgain is the first wait before a failed ask for the node list is repeated; it doubles.
+	askAgain = 500 * ms
+)
+
+// Host is one initiator's scheduler. It is not safe for concurrent use.
+type Host struct {
+	set      Settings
+	rng      *rand.Rand
+	now      Micros
+	began    Micros // first Step; 0 before it
+	started  bool
+	out      []Action
+	requests map[RequestID]*request
+	volumes  map[VolumeID]*volume
+	ring     []*volume // in order of creation, visited from turn on
+	turn     int
+	spare    float64 // virtual time of the second pass
+	nodes    map[NodeID]*node
+	order    []*node // by id
+	chains   map[uint64]*chain
+	seq      uint64
+	held     int // requests without an attempt out that are owed an answer
+	wakeAt   Micros
+	token    uint32
+	asked    Micros // subscribe mode: time of the last ask
+	askAt    Micros // and of the next; 0: subscribed
+	askWait  Micros
+	taken    []Micros // arrivals in the budget's window
+	extra    []Micros // further attempts in it
+}
+
+// request is a request from its arrival until it is over and has no attempt out.
+type request struct {
+	id       RequestID
+	seq      uint64
+	class    *Class
+	vol      *volume
+	cell     int
+	key      uint64
+	units    float64
+	arrived  Micros
+	aimAt    Micros
+	dropDead Micros
+	attempts []attempt
+	out      int
+	queued   bool // in a lane of its volume
+	waiting  bool // held: owed an answer, no attempt out
+	over     bool
+	stream   bool
+	charged  bool // has drawn on the limit
+	after    Micros
+	maybe    bool // an attempt may have run
+	group    *node
+	until    Micros // a repeat must be sent before this
+	chain    *chain
+}
+
+type attempt struct {
+	node *node
+	sent Micros
+	done bool
+}
+
+// volume is one queue: a balance in units and a lane for each shard its requests wait for.
+type volume struct {
+	id       VolumeID
+	plan     *Plan
+	attached float64
+	balance  float64
+	credited Micros
+	share    float64 // virtual time in the second pass
+	lanes    []*lane
+	waiting  int
+	live     int // requests not forgotten
+	last     Micros
+	store    float64 // the host's slice of the limit
+	stored   Micros
+	own      rate // units served through this host
+	others   rate // units told as served through other hosts
+	total    float64
+	totalAt  Micros
+}
+
+type lane struct {
+	cell int
+	q    []*request
+}
+
+// rate is an exponentially decaying sum, read as units a second.
+type rate struct {
+	sum float64
+	at  Micros
+}
+
+func (r *rate) add(now Micros, v float64) {
+	r.sum = r.sum*math.Exp(-float64(now-r.at)/float64(meterTime)) + v
+	r.at = now
+}
+
+func (r *rate) get(now Micros) float64 {
+	return r.sum * math.Exp(-float64(now-r.at)/float64(meterTime)) / seconds(meterTime)
+}
+
+type node struct {
+	Node
+	window  float64
+	halved  Micros
+	out     int
+	units   float64 // units out from this host
+	latency float64 // smoothed time of answers, in Micros
+	failing float64 // smoothed share of attempts that failed
+	log     []sent  // sends within the overload time
+}
+
+type sent struct {
+	at    Micros
+	units float64
+}
+
+// chain holds the requests of one key that must run in turn; the first is the one whose turn it is.
+type chain struct {
+	q    []*request
+	rest Micros // the key rests until then
+}
+
+func seconds(d Micros) float64 { return float64(d) / float64(sec) }
+
+// New starts a host. Settings that cannot be right give an error that names the field.
+func New(s Settings, seed uint64) (*Host, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return &Host{
+		set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		requests: map[RequestID]*request{}, volumes: map[VolumeID]*volume{},
+		nodes: map[NodeID]*node{}, chains: map[uint64]*chain{},
+	}, nil
+}
+
+func (s *Settings) check() error {
+	if s.Hosts < 1 {
+		return fmt.Errorf("settings: Hosts is %d", s.Hosts)
+	}
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("settings: Classes is empty")
+	}
+	bad := ""
+	positive := func(name string, v ...float64) {
+		for _, v := range v {
+			if bad == "" && (v < 0 || math.IsNaN(v) || math.IsInf(v, 0)) {
+				bad = fmt.Sprintf("settings: %s is %v", name, v)
+			}
+		}
+	}
+	for i, c := range s.Classes {
+		at := fmt.Sprintf("Classes[%d].", i)
+		positive(at+"Aim", float64(c.Aim))
+		positive(at+"Deadline", float64(c.Deadline))
+		positive(at+"Worth", c.Worth)
+		positive(at+"LateShare", c.LateShare)
+		positive(at+"RepeatWindow", float64(c.RepeatWindow))
+	}
+	for i, p := range s.Plans {
+		at := fmt.Sprintf("Plans[%d].", i)
+		positive(at+"Rate", p.Rate)
+		positive(at+"Reserve", p.Reserve)
+		positive(at+"Weight", p.Weight)
+		positive(at+"Price", p.Price)
+		positive(at+"Limit", p.Limit)
+		positive(at+"LimitBurst", p.LimitBurst)
+		positive(at+"LimitSlack", p.LimitSlack)
+	}
+	r := s.Rules
+	positive("Rules.ColdFrom", r.ColdFrom)
+	positive("Rules.ColdUnits", r.ColdUnits)
+	positive("Rules.BudgetFree", r.BudgetFree)
+	positive("Rules.BudgetPerTake", r.BudgetPerTake)
+	positive("Rules times", float64(r.AnswerSlack), float64(r.StopSending), float64(r.AskWithin),
+		float64(r.ColdTime), float64(r.OverloadTime), float64(r.OrderPause), float64(r.BudgetWindow))
+	positive("UnitMean", s.UnitMean)
+	positive("UnitTop", s.UnitTop)
+	positive("UsePeriod", float64(s.UsePeriod))
+	if bad != "" {
+		return fmt.Errorf("%s", bad)
+	}
+	return nil
+}
+
+// Step takes the events of one moment and appends the actions that answer them.
+func (h *Host) Step(now Micros, events []Event, actions []Action) []Action {
+	if !h.started {
+		h.started, h.began = true, now
+		if h.set.Subscribe {
+			h.askAt, h.askWait = now, askAgain
+		}
+	}
+	h.now, h.out = max(now, h.now), actions
+	for _, e := range events {
+		switch e := e.(type) {
+		case Arrival:
+			h.arrive(e)
+		case AttemptEnded:
+			h.ended(e)
+		case StreamStarted:
+			if r := h.requests[e.Request]; r != nil {
+				r.stream = true
+			}
+		case ClientGone:
+			if r := h.requests[e.Request]; r != nil {
+				h.finish(r)
+			}
+		case NodeList:
+			h.list(e)
+		case TimerFired:
+			if e.Token == h.token {
+				h.wakeAt = 0
+			}
+		}
+	}
+	h.expire()
+	h.releaseChains()
+	h.runCycle()
+	h.subscribe()
+	h.wake()
+	actions, h.out = h.out, nil
+	return actions
+}
+
+func (h *Host) emit(a Action) { h.out = append(h.out, a) }
+
+// wake keeps one timer running while anything waits.
+func (h *Host) wake() {
+	want := Micros(math.MaxInt64)
+	if h.held > 0 {
+		want = h.now + cycle
+	}
+	if h.askAt > 0 {
+		want = min(want, h.askAt)
+	}
+	if want == math.MaxInt64 || h.wakeAt > h.now && h.wakeAt <= want {
+		return
+	}
+	h.token++
+	h.wakeAt = max(want, h.now+1)
+	h.emit(Wake{h.wakeAt - h.now, h.token})
+}
+
+// ---- events ----
+
+func (h *Host) arrive(e Arrival) {
+	if h.requests[e.Request] != nil {
+		return
+	}
+	if h.set.Rules.BudgetWindow > 0 {
+		h.taken = append(h.taken, h.now)
+	}
+	if e.Class < 0 || e.Class >= len(h.set.Classes) {
+		h.emit(Deny{Request: e.Request})
+		return
+	}
+	v := h.volume(e)
+	h.seq++
+	r := &request{
+		id: e.Request, seq: h.seq, class: &h.set.Classes[e.Class], vol: v, cell: max(e.Cell, -1), key: e.Key,
+		units: e.Units, arrived: h.now, dropDead: e.DropDead,
+	}
+	if !(r.units > 0) || math.IsInf(r.units, 0) {
+		r.units = 1
+	}
+	r.aimAt = min(h.now+r.class.Aim, r.dropDead)
+	h.requests[r.id] = r
+	v.live++
+	v.last = h.now
+	h.hold(r, true)
+	if r.class.InOrder && r.key != 0 {
+		c := h.chains[r.key]
+		if c == nil {
+			c = &chain{}
+			h.chains[r.key] = c
+		}
+		r.chain = c
+		c.q = append(c.q, r)
+		if c.q[0] != r || h.now < c.rest {
+			return
+		}
+	}
+	h.enqueue(r)
+}
+
+func (h *Host) volume(e Arrival) *volume {
+	attached := e.Attached
+	if !(attached >= 1) || math.IsInf(attached, 0) {
+		attached = float64(h.set.Hosts)
+	}
+	v := h.volumes[e.Volume]
+	if v == nil {
+		plan := &Plan{}
+		if e.Plan >= 0 && e.Plan < len(h.set.Plans) {
+			plan = &h.set.Plans[e.Plan]
+		}
+		v = &volume{id: e.Volume, plan: plan, attached: attached, credited: h.now, share: h.spare}
+		// Limit guard: what the slice had spent before a restart is unknown, so it starts at its lowest
+		// at the time this host began. An entry that aged out was full, and is so again by this sum.
+		v.store, v.stored = -plan.LimitSlack/attached, h.began
+		h.volumes[e.Volume] = v
+		h.ring = append(h.ring, v)
+	}
+	v.attached = max(v.attached, attached)
+	return v
+}
+
+func (h *Host) hold(r *request, on bool) {
+	if r.waiting != on {
+		r.waiting = on
+		if on {
+			h.held++
+		} else {
+			h.held--
+		}
+	}
+}
+
+func (h *Host) enqueue(r *request) {
+	v := r.vol
+	var l *lane
+	for _, x := range v.lanes {
+		if x.cell == r.cell {
+			l = x
+		}
+	}
+	if l == nil {
+		l = &lane{cell: r.cell}
+		v.lanes = append(v.lanes, l)
+	}
+	if v.waiting == 0 {
+		v.credited = h.now
+		v.share = max(v.share, h.spare)
+	}
+	l.q = append(l.q, r)
+	v.waiting++
+	r.queued = true
+}
+
+func (h *Host) dequeue(r *request) {
+	if !r.queued {
+		return
+	}
+	r.queued = false
+	r.vol.waiting--
+	for _, l := range r.vol.lanes {
+		for i, x := range l.q {
+			if x == r {
+				l.q = append(l.q[:i], l.q[i+1:]...)
+				return
+			}
+		}
+	}
+}
+
+func (h *Host) ended(e AttemptEnded) {
+	r := h.requests[e.Request]
+	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].done {
+		return
+	}
+	a := &r.attempts[e.Attempt]
+	a.done = true
+	r.out--
+	n := a.node
+	n.out--
+	n.units -= r.units
+	h.learn(r, a, e)
+	ran := false
+	switch e.Outcome {
+	case Failed, TimedOut, Reset, Cancelled:
+		ran = true
+	}
+	if r.chain != nil {
+		switch e.Outcome {
+		case TimedOut, Reset, Cancelled:
+			r.chain.rest = max(r.chain.rest, h.now+h.set.Rules.OrderPause)
+		}
+	}
+	if r.over || e.Settled || e.Outcome == OK {
+		h.finish(r)
+		return
+	}
+	if ran && r.class.Repeat != Retryable {
+		r.maybe = true
+		until := a.sent + r.class.RepeatWindow
+		if r.group == nil || until < r.until {
+			r.until = until
+		}
+		r.group = n
+		if r.class.Group == GroupCell {
+			r.cell = n.Cell
+		}
+	}
+	if r.out > 0 {
+		return
+	}
+	r.after = h.now + h.pause(len(r.attempts))
+	if !h.mayRepeat(r) {
+		h.giveUp(r)
+		return
+	}
+	h.hold(r, true)
+	h.enqueue(r)
+}
+
+func (h *Host) pause(tries int) Micros {
+	p := retryPause << min(tries-1, 4)
+	return p/2 + Micros(h.rng.Int64N(int64(p)))
+}
+
+// mayRepeat tells whether a further attempt can still be made at r.after.
+func (h *Host) mayRepeat(r *request) bool {
+	if r.stream || r.after+answerBy >= r.dropDead {
+		return false
+	}
+	if h.set.MaxAttempts > 0 && len(r.attempts) >= h.set.MaxAttempts {
+		return false
+	}
+	if r.maybe && (r.class.Repeat == Fragile || r.after >= r.until) {
+		return false
+	}
+	return true
+}
+
+// giveUp answers a request that will not be served: refused where a retry is surely harmless.
+func (h *Host) giveUp(r *request) {
+	if r.class.Repeat == Retryable || !r.maybe && r.out == 0 {
+		h.emit(Deny{Request: r.id})
+	} else {
+		h.emit(Surrender{r.id})
+	}
+	h.finish(r)
+}
+
+// finish ends a request; it is forgotten when no attempt is out.
+func (h *Host) finish(r *request) {
+	r.over = true
+	h.hold(r, false)
+	h.dequeue(r)
+	if r.out > 0 {
+		return
+	}
+	delete(h.requests, r.id)
+	r.vol.live--
+	r.vol.last = h.now
+	if c := r.chain; c != nil {
+		for i, x := range c.q {
+			if x == r {
+				c.q = append(c.q[:i], c.q[i+1:]...)
+				break
+			}
+		}
+		if len(c.q) > 0 && h.now >= c.rest && !c.q[0].queued && c.q[0].waiting {
+			h.enqueue(c.q[0])
+		}
+	}
+}
+
+// releaseChains lets the first request of each rested key into its volume's queue.
+func (h *Host) releaseChains() {
+	if len(h.chains) == 0 {
+		return
+	}
+	keys := make([]uint64, 0, len(h.chains))
+	for k := range h.chains {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	for _, k := range keys {
+		c := h.chains[k]
+		if h.now < c.rest {
+			continue
+		}
+		if len(c.q) == 0 {
+			delete(h.chains, k)
+		} else if r := c.q[0]; r.waiting && !r.queued {
+			h.enqueue(r)
+		}
+	}
+}
+
+func (h *Host) list(e NodeList) {
+	if e.Kind == ListFailed {
+		if h.set.Subscribe {
+			h.askAt = h.now + h.askWait
+			h.askWait *= 2
+			if w := h.set.Rules.AskWithin / 2; w > 0 {
+				h.askWait = min(h.askWait, w)
+			}
+		}
+		return
+	}
+	if e.Kind != ListDelta {
+		for _, n := range h.order {
+			n.State = Gone
+		}
+	}
+	for _, x := range e.Nodes {
+		n := h.nodes[x.ID]
+		if n == nil {
+			n = &node{window: windowStart}
+			h.nodes[x.ID] = n
+			h.order = append(h.order, n)
+		} else if x.Started != n.Started {
+			n.window, n.latency, n.failing = windowStart, 0, 0
+		}
+		n.Node = x
+	}
+	sort.Slice(h.order, func(i, j int) bool { return h.order[i].ID < h.order[j].ID })
+	if h.set.Subscribe && e.Kind != ListCached {
+		h.askAt, h.askWait = 0, askAgain
+	}
+}
+
+func (h *Host) subscribe() {
+	if h.askAt > 0 && h.now >= h.askAt {
+		h.emit(Watch{On: true})
+		h.askAt = h.now + max(h.set.Rules.AskWithin/2, sec)
+	}
+}
+
+// expire gives held requests their answer before their own dropDead.
+func (h *Host) expire() {
+	if h.held == 0 {
+		return
+	}
+	var due []*request
+	for _, v := range h.ring {
+		for _, l := range v.lanes {
+			for _, r := range l.q {
+				if h.now+answerBy+h.set.Tick >= r.dropDead || r.maybe && h.now >= r.until {
+					due = append(due, r)
+				}
+			}
+		}
+	}
+	for _, c := range h.chains {
+		for _, r := range c.q {
+			if r.waiting && !r.queued && h.now+answerBy+h.set.Tick >= r.dropDead {
+				due = append(due, r)
+			}
+		}
+	}
+	sort.Slice(due, func(i, j int) bool { return due[i].seq < due[j].seq })
+	for _, r := range due {
+		h.giveUp(r)
+	}
+}
+
+// ---- cycle ----
+
+// credit adds what the queue's reservation has earned since the last visit. It is called only for a
+// queue that waits, and the balance is capped.
+func (h *Host) credit(v *volume) {
+	rate := h.reservation(v)
+	v.balance += rate * seconds(h.now-v.credited)
+	v.credited = h.now
+	v.balance = min(v.balance, max(rate*burst, h.set.UnitTop))
+}
+
+// reservation is this host's part of the plan's reservation: less what others serve, where answers
+// tell, and never under the even slice.
+func (h *Host) reservation(v *volume) float64 {
+	whole := v.plan.Reserve
+	slice := whole / v.attached
+	if v.attached <= 1 || !h.set.TellsElsewhere && h.set.UsePeriod <= 0 {
+		return slice
+	}
+	others := v.others.get(h.now)
+	if h.now-v.totalAt < meterOld && v.totalAt > 0 {
+		others = max(others, v.total-v.own.get(h.now))
+	} else if !h.set.TellsElsewhere {
+		return slice
+	}
+	return min(max(whole-others, slice), whole)
+}
+
+// weight is the queue's part in the second pass.
+func (v *volume) weight() float64 {
+	w := v.plan.Reserve
+	if w <= 0 {
+		w = v.plan.Weight
+	}
+	if w <= 0 {
+		w = 1
+	}
+	return w / v.attached
+}
+
+// runCycle is Gage's: a first pass by reservation, a second over the room that is left.
+func (h *Host) runCycle() {
+	if len(h.ring) == 0 {
+		return
+	}
+	h.age()
+	for _, late := range []bool{false, true} {
+		h.turn++
+		for i := range h.ring {
+			v := h.ring[(h.turn+i)%len(h.ring)]
+			if v.waiting == 0 {
+				continue
+			}
+			h.credit(v)
+			for v.balance >= 0 && v.waiting > 0 {
+				r, n := h.next(v, late)
+				if r == nil {
+					break
+				}
+				v.balance -= r.units
+				h.send(r, n)
+			}
+		}
+		for {
+			var best *request
+			var at *node
+			for _, v := range h.ring {
+				if v.waiting == 0 || best != nil && v.share >= best.vol.share {
+					continue
+				}
+				if r, n := h.next(v, late); r != nil {
+					best, at = r, n
+				}
+			}
+			if best == nil {
+				break
+			}
+			h.spare = max(h.spare, best.vol.share)
+			best.vol.share += best.units / best.vol.weight()
+			h.send(best, at)
+		}
+	}
+}
+
+// next is the request of v that leaves next and the node it goes to, or nil.
+func (h *Host) next(v *volume, late bool) (*request, *node) {
+	var best *request
+	var at *node
+	for _, l := range v.lanes {
+		for _, r := range l.q {
+			if r.after > h.now || best != nil && best.seq < r.seq {
+				continue
+			}
+			if n := h.place(r, late); n != nil {
+				best, at = r, n
+			}
+		}
+	}
+	if best != nil && !best.charged && !h.limitAllows(best) {
+		return nil, nil
+	}
+	return best, at
+}
+
+// place finds the node for r: the one that holds its shard, or for a new object the one with the
+// least estimated outstanding load; nil where none may take it now.
+func (h *Host) place(r *request, late bool) *node {
+	var best, ill *node
+	var least, illLeast float64
+	for _, n := range h.order {
+		if r.cell >= 0 && n.Cell != r.cell || n.State != Ready {
+			continue
+		}
+		if r.maybe && r.class.Group == GroupZone && n.Zone != r.group.Zone {
+			continue
+		}
+		load := (n.units + r.units) * max(n.latency, 1)
+		if n.failing > sick {
+			if ill == nil || load < illLeast {
+				ill, illLeast = n, load
+			}
+		} else if best == nil || load < least {
+			best, least = n, load
+		}
+	}
+	if best == nil {
+		best = ill
+	}
+	if best == nil {
+		return nil
+	}
+	room := best.window
+	isLate := h.now+Micros(best.latency) > r.aimAt
+	if isLate != late {
+		return nil
+	}
+	if late {
+		room = max(windowLeast, room*latePart)
+	}
+	if float64(best.out)+1 > room || !h.coldAllows(best, r) || len(r.attempts) > 0 && !h.budgetAllows() {
+		return nil
+	}
+	return best
+}
+
+func (h *Host) send(r *request, n *node) {
+	h.dequeue(r)
+	h.hold(r, false)
+	if !r.charged {
+		r.charged = true
+		if r.vol.plan.Limit > 0 {
+			r.vol.store -= r.units
+		}
+	}
+	if len(r.attempts) > 0 && h.set.Rules.BudgetWindow > 0 {
+		h.extra = append(h.extra, h.now)
+	}
+	r.attempts = append(r.attempts, attempt{node: n, sent: h.now})
+	r.out++
+	n.out++
+	n.units += r.units
+	n.log = append(n.log, sent{h.now, r.units})
+	h.emit(Send{Request: r.id, Node: n.ID})
+}
+
+// age drops the entries of volumes that have long been idle; one with a limit only once its slice is
+// surely full, which is what a new entry starts from.
+func (h *Host) age() {
+	keep := h.ring[:0]
+	for _, v := range h.ring {
+		if v.live == 0 && h.now-v.last > idleAge && (v.plan.Limit <= 0 || h.sliceFull(v)) {
+			delete(h.volumes, v.id)
+			continue
+		}
+		keep = append(keep, v)
+	}
+	h.ring = keep
+}
+
+// ---- node window ----
+
+// learn takes what the end of an attempt tells of its node and volume.
+func (h *Host) learn(r *request, a *attempt, e AttemptEnded) {
+	n, v := a.node, r.vol
+	if e.Elsewhere > 0 {
+		v.others.add(h.now, float64(e.Elsewhere))
+	}
+	if e.Used > 0 && h.set.UsePeriod > 0 {
+		v.total = float64(e.Used-1) / 100 * v.plan.Rate / seconds(h.set.UsePeriod)
+		v.totalAt = h.now
+	}
+	took := h.now - a.sent
+	bad := 0.0
+	switch e.Outcome {
+	case OK:
+		v.own.add(h.now, r.units)
+		if n.latency == 0 {
+			n.latency = float64(took)
+		}
+		n.latency += smooth * (float64(took) - n.latency)
+		if float64(took) > aimPart*float64(r.class.Aim) {
+			h.halve(n, a)
+		} else if float64(n.out+1) >= n.window/2 {
+			n.window = min(n.window+1/n.window, windowMost)
+		}
+	case Full, TimedOut, ConnectFailed:
+		h.halve(n, a)
+		bad = 1
+	case Failed, Reset:
+		bad = 1
+	default:
+		return
+	}
+	n.failing += smooth * (bad - n.failing)
+}
+
+// halve shuts a node's window by half, at most once a round trip.
+func (h *Host) halve(n *node, a *attempt) {
+	if a.sent < n.halved {
+		return
+	}
+	n.window = max(n.window/2, windowLeast)
+	n.halved = h.now
+}
+
+// ---- guards of the rules ----
+
+// limitAllows holds the host's even slice of the plan's limit: rate, burst and slack alike.
+func (h *Host) limitAllows(r *request) bool {
+	v := r.vol
+	if v.plan.Limit <= 0 {
+		return true
+	}
+	v.store = min(v.store+v.plan.Limit/v.attached*seconds(h.now-v.stored), v.plan.LimitBurst/v.attached)
+	v.stored = h.now
+	return v.store-r.units >= -v.plan.LimitSlack/v.attached
+}
+
+func (h *Host) sliceFull(v *volume) bool {
+	fill := v.store + v.plan.Limit/v.attached*seconds(h.now-v.stored)
+	return fill >= v.plan.LimitBurst/v.attached
+}
+
+// coldAllows keeps this host's part of what a cold node always bears, over every overload window.
+func (h *Host) coldAllows(n *node, r *request) bool {
+	rules := &h.set.Rules
+	keep := n.log[:0]
+	sum := r.units
+	for _, s := range n.log {
+		if h.now-s.at <= rules.OverloadTime {
+			keep = append(keep, s)
+			sum += s.units
+		}
+	}
+	n.log = keep
+	if n.Started <= 0 || rules.ColdTime <= 0 || h.now >= n.Started+rules.ColdTime {
+		return true
+	}
+	return sum <= rules.ColdUnits/float64(h.set.Hosts)
+}
+
+// budgetAllows keeps further attempts within the budget over every window.
+func (h *Host) budgetAllows() bool {
+	rules := &h.set.Rules
+	if rules.BudgetWindow <= 0 {
+		return true
+	}
+	for len(h.taken) > 0 && h.now-h.taken[0] >= rules.BudgetWindow {
+		h.taken = h.taken[1:]
+	}
+	for len(h.extra) > 0 && h.now-h.extra[0] > rules.BudgetWindow {
+		h.extra = h.extra[1:]
+	}
+	return float64(len(h.extra)+1) <= rules.BudgetFree+rules.BudgetPerTake*float64(len(h.taken))
+}
