Window: ceiling 8 -> 2 requests a node and host

Cause: hosts that cannot see each other stack their windows at one node, so the queue forms where order and refusal can no longer be chosen.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -25,9 +25,9 @@
 	answerBy = cycle + 5*ms
 
 	// windowStart, windowLeast and windowMost bound the requests a host has out at one node.
-	windowStart = 3.0
+	windowStart = 2.0
 	windowLeast = 1.0
-	windowMost  = 8.0
+	windowMost  = 2.0
 	// aimPart: an answer that took more than this part of its class's aim counts as past it, as the
 	// wait at the node has to leave room for the wait at the host.
 	aimPart = 0.5
