Order inside a volume: the class worth most per unit leads

Cause: units stand for work in every class and worth goes by units, so in overload a unit spent on the low class is lost to the high one. The balances between volumes are untouched.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -688,7 +688,7 @@
 	var at *node
 	for _, l := range v.lanes {
 		for _, r := range l.q {
-			if r.after > h.now || best != nil && best.seq < r.seq {
+			if r.after > h.now || best != nil && !r.leads(best) {
 				continue
 			}
 			if n := h.place(r, late); n != nil {
@@ -702,6 +702,14 @@
 	return best, at
 }
 
+// leads orders the requests of one volume: the class worth most per unit first, then in turn of arrival.
+func (r *request) leads(o *request) bool {
+	if r.class.Worth != o.class.Worth {
+		return r.class.Worth > o.class.Worth
+	}
+	return r.seq < o.seq
+}
+
 // place finds the node for r: the one that holds its shard, or for a new object the one with the
 // least estimated outstanding load; nil where none may take it now.
 func (h *Host) place(r *request, late bool) *node {
