Late requests: only to a node this host has left alone for 250 ms

Cause: requests past their aim were sent into any half-open window; each held a slot for its whole service and an on-time one waited behind it. Never sending them is nearly as good but would leave a slow node unmeasured for ever, so a trickle stays.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -33,8 +33,9 @@
 	aimPart = 0.5
 	// smooth is the weight of a new sample in a node's smoothed figures.
 	smooth = 0.2
-	// latePart of a node's window may hold requests that can no longer make their aim.
-	latePart = 0.5
+	// lateRest is how long a node must have had nothing of this host before a request that can no longer
+	// make its aim may go there.
+	lateRest = 250 * ms
 	// sick is the smoothed share of failed attempts from which a node gets no new objects.
 	sick = 0.2
 
@@ -155,6 +156,7 @@
 	out     int
 	units   float64 // units out from this host
 	latency float64 // smoothed time of answers, in Micros
+	last    Micros  // last send or answer
 	failing float64 // smoothed share of attempts that failed
 	log     []sent  // sends within the overload time
 }
@@ -415,6 +417,7 @@
 	n := a.node
 	n.out--
 	n.units -= r.units
+	n.last = h.now
 	h.learn(r, a, e)
 	ran := false
 	switch e.Outcome {
@@ -742,8 +745,8 @@
 	if isLate != late {
 		return nil
 	}
-	if late {
-		room = max(windowLeast, room*latePart)
+	if late && (best.out > 0 || h.now-best.last < lateRest) {
+		return nil
 	}
 	if float64(best.out)+1 > room || !h.coldAllows(best, r) || len(r.attempts) > 0 && !h.budgetAllows() {
 		return nil
@@ -767,6 +770,7 @@
 	r.out++
 	n.out++
 	n.units += r.units
+	n.last = h.now
 	n.log = append(n.log, sent{h.now, r.units})
 	h.emit(Send{Request: r.id, Node: n.ID})
 }
