--- a/logic/logic.go
+++ b/logic/logic.go
@@ -745,7 +745,7 @@
 	if isLate != late {
 		return nil
 	}
-	if late && (best.out > 0 || h.now-best.last < lateRest) {
+	if late && (best.out > 0 || h.now-best.last < lateRest || !r.charged && !h.sliceFull(r.vol)) {
 		return nil
 	}
 	if float64(best.out)+1 > room || !h.coldAllows(best, r) || len(r.attempts) > 0 && !h.budgetAllows() {
@@ -848,6 +848,7 @@
 	return v.store-r.units >= -v.plan.LimitSlack/v.attached
 }
 
+// sliceFull tells whether the limit's store holds all it can; units drawn now would else be lost.
 func (h *Host) sliceFull(v *volume) bool {
 	fill := v.store + v.plan.Limit/v.attached*seconds(h.now-v.stored)
 	return fill >= v.plan.LimitBurst/v.attached
