--- a/logic/logic.go
+++ b/logic/logic.go
@@ -869,7 +869,13 @@
 	if n.Started <= 0 || rules.ColdTime <= 0 || h.now >= n.Started+rules.ColdTime {
 		return true
 	}
-	return sum <= rules.ColdUnits/float64(h.set.Hosts)
+	// Exception: with many hosts the part is under one request, so it grows as the node's capacity must,
+	// evenly from ColdFrom to the whole over ColdTime, seen from the start of the window.
+	grown := 1.0
+	if age := h.now - rules.OverloadTime - n.Started; age > 0 && rules.ColdFrom > 0 && rules.ColdFrom < 1 {
+		grown += (1/rules.ColdFrom - 1) * float64(age) / float64(rules.ColdTime)
+	}
+	return sum <= grown*rules.ColdUnits/float64(h.set.Hosts)
 }
 
 // budgetAllows keeps further attempts within the budget over every window.
