--- a/logic/logic.go
+++ b/logic/logic.go
@@ -41,6 +41,10 @@
 
 	// retryPause is the wait before a further attempt; it doubles with each.
 	retryPause = 30 * ms
+	// downPause is how long a node that took no connection is left alone before one request tries it
+	// again; it doubles up to downMost.
+	downPause = 100 * ms
+	downMost  = 1600 * ms
 	// meterTime smooths what others serve; meterOld is the age at which such news counts as none.
 	meterTime = 1 * sec
 	meterOld  = 3 * sec
@@ -157,6 +161,8 @@
 	units   float64 // units out from this host
 	latency float64 // smoothed time of answers, in Micros
 	last    Micros  // last send or answer
+	down    Micros  // pause after connections failed; 0: they do not
+	downAt  Micros
 	failing float64 // smoothed share of attempts that failed
 	log     []sent  // sends within the overload time
 }
@@ -745,6 +751,9 @@
 	if isLate != late {
 		return nil
 	}
+	if best.down > 0 && (best.out > 0 || h.now < best.downAt+best.down) {
+		return nil
+	}
 	if late && (best.out > 0 || h.now-best.last < lateRest || !r.charged && !h.sliceFull(r.vol)) {
 		return nil
 	}
@@ -803,6 +812,14 @@
 	}
 	took := h.now - a.sent
 	bad := 0.0
+	// Down guard: a node that takes no connections is tried by one request at a time, so that those it
+	// would serve later do not burn their attempts on it. Also covers a cut link or a full connection
+	// table; harm: up to downMost of a node's time after it is back.
+	if e.Outcome != ConnectFailed {
+		n.down = 0
+	} else if a.sent >= n.downAt {
+		n.down, n.downAt = min(max(2*n.down, downPause), downMost), h.now
+	}
 	switch e.Outcome {
 	case OK:
 		v.own.add(h.now, r.units)
