--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,6 +45,9 @@
 	// again; it doubles up to downMost.
 	downPause = 100 * ms
 	downMost  = 1600 * ms
+	// doubt is how long a node that took no connections and then answers is treated as started at that
+	// moment, unless the list says better.
+	doubt = 5 * sec
 	// meterTime smooths what others serve; meterOld is the age at which such news counts as none.
 	meterTime = 1 * sec
 	meterOld  = 3 * sec
@@ -163,6 +166,7 @@
 	last    Micros  // last send or answer
 	down    Micros  // pause after connections failed; 0: they do not
 	downAt  Micros
+	revived Micros  // when its process may have started, going by its connections
 	failing float64 // smoothed share of attempts that failed
 	log     []sent  // sends within the overload time
 }
@@ -816,6 +820,9 @@
 	// would serve later do not burn their attempts on it. Also covers a cut link or a full connection
 	// table; harm: up to downMost of a node's time after it is back.
 	if e.Outcome != ConnectFailed {
+		if n.down > 0 && n.Started < n.downAt {
+			n.revived = n.downAt
+		}
 		n.down = 0
 	} else if a.sent >= n.downAt {
 		n.down, n.downAt = min(max(2*n.down, downPause), downMost), h.now
@@ -883,13 +890,17 @@
 		}
 	}
 	n.log = keep
-	if n.Started <= 0 || rules.ColdTime <= 0 || h.now >= n.Started+rules.ColdTime {
+	started := n.Started
+	if n.revived > started && h.now < n.revived+doubt {
+		started = n.revived
+	}
+	if started <= 0 || rules.ColdTime <= 0 || h.now >= started+rules.ColdTime {
 		return true
 	}
 	// Exception: with many hosts the part is under one request, so it grows as the node's capacity must,
 	// evenly from ColdFrom to the whole over ColdTime, seen from the start of the window.
 	grown := 1.0
-	if age := h.now - rules.OverloadTime - n.Started; age > 0 && rules.ColdFrom > 0 && rules.ColdFrom < 1 {
+	if age := h.now - rules.OverloadTime - started; age > 0 && rules.ColdFrom > 0 && rules.ColdFrom < 1 {
 		grown += (1/rules.ColdFrom - 1) * float64(age) / float64(rules.ColdTime)
 	}
 	return sum <= grown*rules.ColdUnits/float64(h.set.Hosts)
