Cold nodes: half of the tip multiple may go by what the node has just served for this host

The hosts' served units add up to what the node can do at present, so TipMultiple/2 times them keeps a margin of two for units that were cheap by locality.

--- a/logic/api.go
+++ b/logic/api.go
@@ -70,6 +70,7 @@
 	ColdTime      Micros  // a node is warm after this, at the latest
 	ColdUnits     float64 // units within OverloadTime a cold node always bears, from all hosts together
 	OverloadTime  Micros
+	TipMultiple   float64 // more than so many times its present capacity for OverloadTime pushes it over
 	OrderPause    Micros  // rest of a key after an attempt that may still run
 	BudgetWindow  Micros  // further attempts are counted over this time; 0: no budget
 	BudgetFree    float64 // further attempts always allowed in the window
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -168,14 +168,36 @@
 	downAt  Micros
 	revived Micros  // when its process may have started, going by its connections
 	failing float64 // smoothed share of attempts that failed
-	log     []sent  // sends within the overload time
+	sent    log     // units sent within the overload time
+	served  log     // and served
 }
 
-type sent struct {
+// log is what happened lately, in units.
+type log []struct {
 	at    Micros
 	units float64
 }
 
+func (l *log) add(now Micros, units float64) {
+	*l = append(*l, struct {
+		at    Micros
+		units float64
+	}{now, units})
+}
+
+// since drops what is older and sums the rest.
+func (l *log) since(t Micros) (sum float64) {
+	keep := (*l)[:0]
+	for _, e := range *l {
+		if e.at >= t {
+			keep = append(keep, e)
+			sum += e.units
+		}
+	}
+	*l = keep
+	return sum
+}
+
 // chain holds the requests of one key that must run in turn; the first is the one whose turn it is.
 type chain struct {
 	q    []*request
@@ -784,7 +806,7 @@
 	n.out++
 	n.units += r.units
 	n.last = h.now
-	n.log = append(n.log, sent{h.now, r.units})
+	n.sent.add(h.now, r.units)
 	h.emit(Send{Request: r.id, Node: n.ID})
 }
 
@@ -830,6 +852,7 @@
 	switch e.Outcome {
 	case OK:
 		v.own.add(h.now, r.units)
+		n.served.add(h.now, r.units)
 		if n.latency == 0 {
 			n.latency = float64(took)
 		}
@@ -881,15 +904,8 @@
 // coldAllows keeps this host's part of what a cold node always bears, over every overload window.
 func (h *Host) coldAllows(n *node, r *request) bool {
 	rules := &h.set.Rules
-	keep := n.log[:0]
-	sum := r.units
-	for _, s := range n.log {
-		if h.now-s.at <= rules.OverloadTime {
-			keep = append(keep, s)
-			sum += s.units
-		}
-	}
-	n.log = keep
+	began := h.now - rules.OverloadTime
+	sent, served := n.sent.since(began), n.served.since(began)
 	started := n.Started
 	if n.revived > started && h.now < n.revived+doubt {
 		started = n.revived
@@ -900,10 +916,13 @@
 	// Exception: with many hosts the part is under one request, so it grows as the node's capacity must,
 	// evenly from ColdFrom to the whole over ColdTime, seen from the start of the window.
 	grown := 1.0
-	if age := h.now - rules.OverloadTime - started; age > 0 && rules.ColdFrom > 0 && rules.ColdFrom < 1 {
+	if age := began - started; age > 0 && rules.ColdFrom > 0 && rules.ColdFrom < 1 {
 		grown += (1/rules.ColdFrom - 1) * float64(age) / float64(rules.ColdTime)
 	}
-	return sum <= grown*rules.ColdUnits/float64(h.set.Hosts)
+	// Exception: what the node has just served for each host it can do for all of them at once, so half
+	// of the multiple that pushes it over may go by that.
+	part := max(grown*rules.ColdUnits/float64(h.set.Hosts), rules.TipMultiple/2*served)
+	return sent+r.units <= part
 }
 
 // budgetAllows keeps further attempts within the budget over every window.
