--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,7 +7,6 @@
 // in this order: constants, state, events, cycle, node window, guards of the rules.
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"sort"
@@ -57,155 +56,6 @@
 	askAgain = 500 * ms
 )
 
-// Host is one initiator's scheduler. It is not safe for concurrent use.
-type Host struct {
-	set      Settings
-	rng      *rand.Rand
-	now      Micros
-	began    Micros // first Step; 0 before it
-	started  bool
-	out      []Action
-	requests map[RequestID]*request
-	volumes  map[VolumeID]*volume
-	ring     []*volume // in order of creation, visited from turn on
-	turn     int
-	spare    float64 // virtual time of the second pass
-	nodes    map[NodeID]*node
-	order    []*node // by id
-	chains   map[uint64]*chain
-	seq      uint64
-	held     int // requests without an attempt out that are owed an answer
-	wakeAt   Micros
-	token    uint32
-	asked    Micros // subscribe mode: time of the last ask
-	askAt    Micros // and of the next; 0: subscribed
-	askWait  Micros
-	taken    []Micros // arrivals in the budget's window
-	extra    []Micros // further attempts in it
-}
-
-// request is a request from its arrival until it is over and has no attempt out.
-type request struct {
-	id       RequestID
-	seq      uint64
-	class    *Class
-	vol      *volume
-	cell     int
-	key      uint64
-	units    float64
-	arrived  Micros
-	aimAt    Micros
-	dropDead Micros
-	attempts []attempt
-	out      int
-	queued   bool // in a lane of its volume
-	waiting  bool // held: owed an answer, no attempt out
-	over     bool
-	stream   bool
-	charged  bool // has drawn on the limit
-	after    Micros
-	maybe    bool // an attempt may have run
-	group    *node
-	until    Micros // a repeat must be sent before this
-	chain    *chain
-}
-
-type attempt struct {
-	node *node
-	sent Micros
-	done bool
-}
-
-// volume is one queue: a balance in units and a lane for each shard its requests wait for.
-type volume struct {
-	id       VolumeID
-	plan     *Plan
-	attached float64
-	balance  float64
-	credited Micros
-	share    float64 // virtual time in the second pass
-	lanes    []*lane
-	waiting  int
-	live     int // requests not forgotten
-	last     Micros
-	store    float64 // the host's slice of the limit
-	stored   Micros
-	own      rate // units served through this host
-	others   rate // units told as served through other hosts
-	total    float64
-	totalAt  Micros
-}
-
-type lane struct {
-	cell int
-	q    []*request
-}
-
-// rate is an exponentially decaying sum, read as units a second.
-type rate struct {
-	sum float64
-	at  Micros
-}
-
-func (r *rate) add(now Micros, v float64) {
-	r.sum = r.sum*math.Exp(-float64(now-r.at)/float64(meterTime)) + v
-	r.at = now
-}
-
-func (r *rate) get(now Micros) float64 {
-	return r.sum * math.Exp(-float64(now-r.at)/float64(meterTime)) / seconds(meterTime)
-}
-
-type node struct {
-	Node
-	window  float64
-	halved  Micros
-	out     int
-	units   float64 // units out from this host
-	latency float64 // smoothed time of answers, in Micros
-	last    Micros  // last send or answer
-	down    Micros  // pause after connections failed; 0: they do not
-	downAt  Micros
-	revived Micros  // when its process may have started, going by its connections
-	failing float64 // smoothed share of attempts that failed
-	sent    log     // units sent within the overload time
-	served  log     // and served
-}
-
-// log is what happened lately, in units.
-type log []struct {
-	at    Micros
-	units float64
-}
-
-func (l *log) add(now Micros, units float64) {
-	*l = append(*l, struct {
-		at    Micros
-		units float64
-	}{now, units})
-}
-
-// since drops what is older and sums the rest.
-func (l *log) since(t Micros) (sum float64) {
-	keep := (*l)[:0]
-	for _, e := range *l {
-		if e.at >= t {
-			keep = append(keep, e)
-			sum += e.units
-		}
-	}
-	*l = keep
-	return sum
-}
-
-// chain holds the requests of one key that must run in turn; the first is the one whose turn it is.
-type chain struct {
-	q    []*request
-	rest Micros // the key rests until then
-}
-
-func seconds(d Micros) float64 { return float64(d) / float64(sec) }
-
 // New starts a host. Settings that cannot be right give an error that names the field.
 func New(s Settings, seed uint64) (*Host, error) {
 	if err := s.check(); err != nil {
@@ -218,55 +68,6 @@
 	}, nil
 }
 
-func (s *Settings) check() error {
-	if s.Hosts < 1 {
-		return fmt.Errorf("settings: Hosts is %d", s.Hosts)
-	}
-	if len(s.Classes) == 0 {
-		return fmt.Errorf("settings: Classes is empty")
-	}
-	bad := ""
-	positive := func(name string, v ...float64) {
-		for _, v := range v {
-			if bad == "" && (v < 0 || math.IsNaN(v) || math.IsInf(v, 0)) {
-				bad = fmt.Sprintf("settings: %s is %v", name, v)
-			}
-		}
-	}
-	for i, c := range s.Classes {
-		at := fmt.Sprintf("Classes[%d].", i)
-		positive(at+"Aim", float64(c.Aim))
-		positive(at+"Deadline", float64(c.Deadline))
-		positive(at+"Worth", c.Worth)
-		positive(at+"LateShare", c.LateShare)
-		positive(at+"RepeatWindow", float64(c.RepeatWindow))
-	}
-	for i, p := range s.Plans {
-		at := fmt.Sprintf("Plans[%d].", i)
-		positive(at+"Rate", p.Rate)
-		positive(at+"Reserve", p.Reserve)
-		positive(at+"Weight", p.Weight)
-		positive(at+"Price", p.Price)
-		positive(at+"Limit", p.Limit)
-		positive(at+"LimitBurst", p.LimitBurst)
-		positive(at+"LimitSlack", p.LimitSlack)
-	}
-	r := s.Rules
-	positive("Rules.ColdFrom", r.ColdFrom)
-	positive("Rules.ColdUnits", r.ColdUnits)
-	positive("Rules.BudgetFree", r.BudgetFree)
-	positive("Rules.BudgetPerTake", r.BudgetPerTake)
-	positive("Rules times", float64(r.AnswerSlack), float64(r.StopSending), float64(r.AskWithin),
-		float64(r.ColdTime), float64(r.OverloadTime), float64(r.OrderPause), float64(r.BudgetWindow))
-	positive("UnitMean", s.UnitMean)
-	positive("UnitTop", s.UnitTop)
-	positive("UsePeriod", float64(s.UsePeriod))
-	if bad != "" {
-		return fmt.Errorf("%s", bad)
-	}
-	return nil
-}
-
 // Step takes the events of one moment and appends the actions that answer them.
 func (h *Host) Step(now Micros, events []Event, actions []Action) []Action {
 	if !h.started {
@@ -652,9 +453,9 @@
 	if v.attached <= 1 || !h.set.TellsElsewhere && h.set.UsePeriod <= 0 {
 		return slice
 	}
-	others := v.others.get(h.now)
+	others := v.others.get(h.now, meterTime)
 	if h.now-v.totalAt < meterOld && v.totalAt > 0 {
-		others = max(others, v.total-v.own.get(h.now))
+		others = max(others, v.total-v.own.get(h.now, meterTime))
 	} else if !h.set.TellsElsewhere {
 		return slice
 	}
@@ -830,7 +631,7 @@
 func (h *Host) learn(r *request, a *attempt, e AttemptEnded) {
 	n, v := a.node, r.vol
 	if e.Elsewhere > 0 {
-		v.others.add(h.now, float64(e.Elsewhere))
+		v.others.add(h.now, float64(e.Elsewhere), meterTime)
 	}
 	if e.Used > 0 && h.set.UsePeriod > 0 {
 		v.total = float64(e.Used-1) / 100 * v.plan.Rate / seconds(h.set.UsePeriod)
@@ -851,7 +652,7 @@
 	}
 	switch e.Outcome {
 	case OK:
-		v.own.add(h.now, r.units)
+		v.own.add(h.now, r.units, meterTime)
 		n.served.add(h.now, r.units)
 		if n.latency == 0 {
 			n.latency = float64(took)
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,156 @@
+package logic
+
+// What a host remembers, and the sums it is kept in. Nothing is decided here.
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// Host is one initiator's scheduler. It is not safe for concurrent use.
+type Host struct {
+	set      Settings
+	rng      *rand.Rand
+	now      Micros
+	began    Micros // first Step; 0 before it
+	started  bool
+	out      []Action
+	requests map[RequestID]*request
+	volumes  map[VolumeID]*volume
+	ring     []*volume // in order of creation, visited from turn on
+	turn     int
+	spare    float64 // virtual time of the second pass
+	nodes    map[NodeID]*node
+	order    []*node // by id
+	chains   map[uint64]*chain
+	seq      uint64
+	held     int // requests without an attempt out that are owed an answer
+	wakeAt   Micros
+	token    uint32
+	askAt    Micros // subscribe mode: time of the next ask; 0: subscribed
+	askWait  Micros
+	taken    []Micros // arrivals in the budget's window
+	extra    []Micros // further attempts in it
+}
+
+// request is a request from its arrival until it is over and has no attempt out.
+type request struct {
+	id       RequestID
+	seq      uint64
+	class    *Class
+	vol      *volume
+	cell     int
+	key      uint64
+	units    float64
+	arrived  Micros
+	aimAt    Micros
+	dropDead Micros
+	attempts []attempt
+	out      int
+	queued   bool // in a lane of its volume
+	waiting  bool // held: owed an answer, no attempt out
+	over     bool
+	stream   bool
+	charged  bool // has drawn on the limit
+	after    Micros
+	maybe    bool // an attempt may have run
+	group    *node
+	until    Micros // a repeat must be sent before this
+	chain    *chain
+}
+
+type attempt struct {
+	node *node
+	sent Micros
+	done bool
+}
+
+// volume is one queue: a balance in units and a lane for each shard its requests wait for.
+type volume struct {
+	id       VolumeID
+	plan     *Plan
+	attached float64
+	balance  float64
+	credited Micros
+	share    float64 // virtual time in the second pass
+	lanes    []*lane
+	waiting  int
+	live     int // requests not forgotten
+	last     Micros
+	store    float64 // the host's slice of the limit
+	stored   Micros
+	own      rate // units served through this host
+	others   rate // units told as served through other hosts
+	total    float64
+	totalAt  Micros
+}
+
+type lane struct {
+	cell int
+	q    []*request
+}
+
+// rate is an exponentially decaying sum, read as units a second over the span it decays in.
+type rate struct {
+	sum float64
+	at  Micros
+}
+
+func (r *rate) add(now Micros, v float64, span Micros) {
+	r.sum = r.sum*math.Exp(-float64(now-r.at)/float64(span)) + v
+	r.at = now
+}
+
+func (r *rate) get(now, span Micros) float64 {
+	return r.sum * math.Exp(-float64(now-r.at)/float64(span)) / seconds(span)
+}
+
+type node struct {
+	Node
+	window  float64
+	halved  Micros
+	out     int
+	units   float64 // units out from this host
+	latency float64 // smoothed time of answers, in Micros
+	last    Micros  // last send or answer
+	down    Micros  // pause after connections failed; 0: they do not
+	downAt  Micros
+	revived Micros  // when its process may have started, going by its connections
+	failing float64 // smoothed share of attempts that failed
+	sent    log     // units sent within the overload time
+	served  log     // and served
+}
+
+// log is what happened lately, in units.
+type log []struct {
+	at    Micros
+	units float64
+}
+
+func (l *log) add(now Micros, units float64) {
+	*l = append(*l, struct {
+		at    Micros
+		units float64
+	}{now, units})
+}
+
+// since drops what is older and sums the rest.
+func (l *log) since(t Micros) (sum float64) {
+	keep := (*l)[:0]
+	for _, e := range *l {
+		if e.at >= t {
+			keep = append(keep, e)
+			sum += e.units
+		}
+	}
+	*l = keep
+	return sum
+}
+
+// chain holds the requests of one key that must run in turn; the first is the one whose turn it is.
+type chain struct {
+	q    []*request
+	rest Micros // the key rests until then
+}
+
+func seconds(d Micros) float64 { return float64(d) / 1e6 }
