Tests of the module: table tests of the mechanism, random scripts with a checker of the seven rules

The random script showed a harm of the doubt guard: one failed connection held a healthy node to a cold node's part for 5 s.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -643,8 +643,8 @@
 	// would serve later do not burn their attempts on it. Also covers a cut link or a full connection
 	// table; harm: up to downMost of a node's time after it is back.
 	if e.Outcome != ConnectFailed {
-		if n.down > 0 && n.Started < n.downAt {
-			n.revived = n.downAt
+		if n.down > downPause && n.Started < n.downAt {
+			n.revived = n.downAt // more than one try in a row failed: its process may be new
 		}
 		n.down = 0
 	} else if a.sent >= n.downAt {
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,638 @@
+package logic
+
+import (
+	"math"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"unicode/utf8"
+)
+
+// bench is a host with nodes 1, 2, ... holding the shards 0, 1, ...
+type bench struct {
+	t    *testing.T
+	h    *Host
+	now  Micros
+	next RequestID
+}
+
+func plain() Settings {
+	return Settings{
+		Hosts: 2, Tick: 2 * ms, UnitTop: 6,
+		Classes: []Class{
+			{Aim: 400 * ms, Deadline: 4 * sec, Worth: 3, Repeat: Retryable},
+			{Aim: 800 * ms, Deadline: 4 * sec, Worth: 2, Repeat: Retryable},
+			{Aim: 800 * ms, Deadline: 4 * sec, Worth: 2, Repeat: Dedup, Group: GroupCell, RepeatWindow: sec, InOrder: true},
+			{Aim: 800 * ms, Deadline: 4 * sec, Worth: 2, Repeat: Fragile},
+			{Aim: 800 * ms, Deadline: 4 * sec, Worth: 2, Repeat: Retryable, Stream: true},
+		},
+		Plans: []Plan{
+			{Rate: 20, Reserve: 10, Weight: 1},
+			{Rate: 20, Reserve: 30, Weight: 1},
+			{Rate: 20, Reserve: 10, Weight: 1, Limit: 10, LimitBurst: 20, LimitSlack: 4},
+			{Rate: 20, Weight: 2},
+			{Rate: 20, Weight: 4},
+		},
+		Rules: Rules{AnswerSlack: 8 * ms, StopSending: sec},
+	}
+}
+
+func newBench(t *testing.T, s Settings, nodes int) *bench {
+	t.Helper()
+	h, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, h: h, now: 10 * sec}
+	list := NodeList{Kind: ListCached}
+	for i := range nodes {
+		list.Nodes = append(list.Nodes, Node{ID: NodeID(i + 1), Cell: i, State: Ready})
+	}
+	b.step(list)
+	return b
+}
+
+func (b *bench) step(events ...Event) []Action { return b.h.Step(b.now, events, nil) }
+
+func (b *bench) after(d Micros, events ...Event) []Action {
+	b.now += d
+	return b.step(events...)
+}
+
+// ask makes an arrival at shard 0 of the volume numbered like its plan; change what differs.
+func (b *bench) ask(class, plan int, change ...func(*Arrival)) Arrival {
+	b.next++
+	a := Arrival{Request: b.next, Class: class, Volume: VolumeID(plan), Plan: plan, Attached: 1, Units: 1,
+		DropDead: b.now + b.h.set.Classes[min(class, len(b.h.set.Classes)-1)].Deadline}
+	for _, f := range change {
+		f(&a)
+	}
+	return a
+}
+
+func units(u float64) func(*Arrival)    { return func(a *Arrival) { a.Units = u } }
+func cell(c int) func(*Arrival)         { return func(a *Arrival) { a.Cell = c } }
+func key(k uint64) func(*Arrival)       { return func(a *Arrival) { a.Key = k } }
+func attached(n float64) func(*Arrival) { return func(a *Arrival) { a.Attached = n } }
+
+func end(id RequestID, attempt int, node NodeID, how Outcome) AttemptEnded {
+	return AttemptEnded{Request: id, Attempt: attempt, Node: node, Outcome: how, Settled: how == OK, Load: NoLoad}
+}
+
+func sends(actions []Action) (ids []RequestID) {
+	for _, a := range actions {
+		if s, ok := a.(Send); ok {
+			ids = append(ids, s.Request)
+		}
+	}
+	return ids
+}
+
+func has(actions []Action, want Action) bool {
+	for _, a := range actions {
+		if reflect.DeepEqual(a, want) {
+			return true
+		}
+	}
+	return false
+}
+
+// fill takes both places of node 1's first window with requests of a plan that is not under test.
+func (b *bench) fill() {
+	for range int(windowStart) {
+		b.step(b.ask(0, 4))
+	}
+}
+
+func TestModuleIsShort(t *testing.T) {
+	text, err := os.ReadFile("logic.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	count := 0
+	for i, line := range strings.Split(string(text), "\n") {
+		if strings.TrimSpace(line) != "" {
+			count++
+		}
+		if n := utf8.RuneCountInString(strings.ReplaceAll(line, "\t", "    ")); n > 110 {
+			t.Errorf("logic.go:%d has %d columns", i+1, n)
+		}
+	}
+	if count > 850 {
+		t.Errorf("logic.go has %d lines that are not blank", count)
+	}
+	if !strings.Contains(string(text[:400]), "logic/api.go") {
+		t.Error("logic.go does not open by naming its interface")
+	}
+}
+
+func TestCreditOnlyWhileWaiting(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	shut := func(w float64) { b.h.order[0].window = w }
+	balance := func(want float64, why string) {
+		t.Helper()
+		if got := b.h.volumes[0].balance; math.Abs(got-want) > 1e-9 {
+			t.Errorf("balance %v, want %v: %s", got, want, why)
+		}
+	}
+	shut(0)
+	b.step(b.ask(1, 0, units(4)))
+	balance(0, "nothing is earned by arriving")
+	b.after(100*ms, TimerFired{})
+	balance(1, "100 ms at 10 units a second")
+	b.after(600*ms, TimerFired{})
+	balance(6, "capped at one largest request")
+	shut(8)
+	b.step(TimerFired{})
+	balance(2, "a send is charged its told units at once")
+	b.after(sec, end(1, 0, 1, OK))
+	balance(2, "a queue that does not wait earns nothing")
+	shut(0)
+	b.step(b.ask(1, 0, units(4)))
+	b.after(sec/10, TimerFired{})
+	balance(3, "and begins to earn when it waits again")
+}
+
+// TestSecondPassShares fills a node and counts who gets its places once all balances are spent.
+func TestSecondPassShares(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		plans [2]int
+		want  float64 // of the second to the first
+	}{
+		{"by reservation", [2]int{0, 1}, 3},
+		{"by plan weight where there is none", [2]int{3, 4}, 2},
+	} {
+		b := newBench(t, plain(), 1)
+		owner := map[RequestID]int{}
+		for range 200 {
+			for _, p := range c.plans {
+				a := b.ask(0, p)
+				owner[a.Request] = p
+				b.h.Step(b.now, []Event{a}, nil)
+			}
+		}
+		got := map[int]float64{}
+		out := []RequestID{1, 2}
+		for range 60 {
+			for _, id := range sends(b.step(end(out[0], 0, 1, OK))) {
+				out = append(out, id)
+				got[owner[id]]++
+			}
+			out = out[1:]
+		}
+		if r := got[c.plans[1]] / got[c.plans[0]]; r < c.want*0.8 || r > c.want*1.25 {
+			t.Errorf("%s: shares %v, ratio %.2f, want %v", c.name, got, r, c.want)
+		}
+	}
+}
+
+func TestReservation(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		elsewhere bool
+		period    Micros
+		told      func(*volume, Micros)
+		want      float64
+	}{
+		{"answers tell nothing: even slice", false, 0, func(*volume, Micros) {}, 10},
+		{"nothing heard of others: all", true, 0, func(*volume, Micros) {}, 30},
+		{"others take 12", true, 0, func(v *volume, now Micros) { v.others.add(now, 12, meterTime) }, 18},
+		{"others take all: even slice", true, 0, func(v *volume, now Micros) { v.others.add(now, 90, meterTime) }, 10},
+		{"meter less own", false, sec, func(v *volume, now Micros) {
+			v.total, v.totalAt = 20, now
+			v.own.add(now, 8, meterTime)
+		}, 18},
+		{"meter too old: even slice", false, sec, func(v *volume, now Micros) {
+			v.total, v.totalAt = 20, now-meterOld
+		}, 10},
+	} {
+		s := plain()
+		s.TellsElsewhere, s.UsePeriod = c.elsewhere, c.period
+		b := newBench(t, s, 1)
+		b.step(b.ask(0, 1, attached(3)))
+		v := b.h.volumes[1]
+		c.told(v, b.now)
+		if got := b.h.reservation(v); math.Abs(got-c.want) > 1e-6 {
+			t.Errorf("%s: %v units a second, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestWindow(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		took Micros
+		how  Outcome
+		from float64
+		want float64
+	}{
+		{"halves past the aim", 300 * ms, OK, 2, 1},
+		{"halves when refused", 10 * ms, Full, 2, 1},
+		{"halves on a time-out", 300 * ms, TimedOut, 2, 1},
+		{"halves without connection", 250 * ms, ConnectFailed, 2, 1},
+		{"errors are not speed", 5 * ms, Failed, 1.5, 1.5},
+		{"grows by a part of a round trip", 50 * ms, OK, 1.5, 1.5 + 1/1.5},
+		{"stops at the ceiling", 50 * ms, OK, windowMost, windowMost},
+	} {
+		b := newBench(t, plain(), 1)
+		b.step(b.ask(0, 0))
+		b.h.order[0].window = c.from
+		b.after(c.took, end(1, 0, 1, c.how))
+		if got := b.h.order[0].window; math.Abs(got-min(c.want, windowMost)) > 1e-9 {
+			t.Errorf("%s: window %v, want %v", c.name, got, c.want)
+		}
+	}
+	b := newBench(t, plain(), 1)
+	b.h.order[0].window = 8
+	b.step(b.ask(0, 0), b.ask(0, 0))
+	b.after(300*ms, end(1, 0, 1, Full), end(2, 0, 1, Full))
+	if got := b.h.order[0].window; got != 4 {
+		t.Errorf("two refusals of one round trip: window %v, want one halving to 4", got)
+	}
+}
+
+func TestFullNodeBlocksNobodyElse(t *testing.T) {
+	b := newBench(t, plain(), 2)
+	b.fill()
+	first, second := b.ask(0, 0), b.ask(0, 0, cell(1))
+	if got := sends(b.step(first, second)); !reflect.DeepEqual(got, []RequestID{second.Request}) {
+		t.Errorf("sent %v, want the request for the other node", got)
+	}
+}
+
+func TestClassWorthMostLeads(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	b.fill()
+	low, high := b.ask(1, 0), b.ask(0, 0)
+	b.step(low, high)
+	if got := sends(b.step(end(1, 0, 1, OK))); !reflect.DeepEqual(got, []RequestID{high.Request}) {
+		t.Errorf("sent %v, want %v", got, high.Request)
+	}
+}
+
+// TestLateWaits: a request past its aim goes only to a node left alone for a while.
+func TestLateWaits(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	b.fill()
+	b.step(b.ask(0, 0))
+	b.now += 500 * ms
+	got := b.step(end(1, 0, 1, OK), end(2, 0, 1, OK))
+	if len(sends(got)) != 0 {
+		t.Errorf("sent late requests %v at once", sends(got))
+	}
+	if got := sends(b.after(lateRest, TimerFired{})); len(got) != 1 {
+		t.Errorf("sent %v after the node's rest, want the late one", got)
+	}
+}
+
+func TestNewObjectsGoWhereLoadIsLeast(t *testing.T) {
+	b := newBench(t, plain(), 3)
+	b.step(b.ask(0, 0, cell(0)))
+	b.h.nodes[2].failing = 1
+	a := b.ask(0, 0, cell(-1))
+	if got := b.step(a); !has(got, Send{Request: a.Request, Node: 3}) {
+		t.Errorf("%v, want a send to node 3: 1 is busy, 2 fails", got)
+	}
+}
+
+func TestLimitSlice(t *testing.T) {
+	// The slice of two hosts is 5 units a second, 10 at most, and may go 2 below zero. It starts at its
+	// lowest: what a host before this one spent is unknown.
+	b := newBench(t, plain(), 9)
+	n := 0
+	ask := func(d Micros, u float64) int {
+		n++
+		b.now += d
+		return len(sends(b.step(b.ask(0, 2, attached(2), units(u), cell(n%9)))))
+	}
+	if ask(0, 1) != 0 {
+		t.Error("sent at once after a start")
+	}
+	if got := sends(b.after(200*ms, TimerFired{})); len(got) != 1 {
+		t.Errorf("sent %v after 200 ms, want the one unit that had come in", got)
+	}
+	if ask(800*ms, 5) != 0 || len(sends(b.after(210*ms, TimerFired{}))) != 1 {
+		t.Error("five units must wait for five units")
+	}
+	b.now += 100 * sec
+	for i := range 2 {
+		if ask(0, 6) != 1 {
+			t.Errorf("send %d from a full slice was held", i)
+		}
+	}
+	if ask(0, 1) != 0 {
+		t.Error("passed the slice")
+	}
+}
+
+func TestLimitTooLargeIsAnswered(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	a := b.ask(0, 2, attached(2), units(60))
+	b.step(a)
+	b.now = a.DropDead - 5*ms
+	if got := b.step(TimerFired{}); !has(got, Deny{Request: a.Request}) {
+		t.Errorf("%v, want a refusal before dropDead", got)
+	}
+}
+
+func coldSettings() Settings {
+	s := plain()
+	s.Rules.ColdFrom, s.Rules.ColdTime, s.Rules.ColdUnits = 0.2, 10*sec, 6
+	s.Rules.OverloadTime, s.Rules.TipMultiple = sec, 3
+	return s
+}
+
+func TestColdNode(t *testing.T) {
+	restart := func(b *bench, at Micros) NodeList {
+		return NodeList{Kind: ListDelta, Nodes: []Node{{ID: 1, State: Ready, Started: at}}}
+	}
+	t.Run("part, growth and warm", func(t *testing.T) {
+		for _, c := range []struct {
+			age, was Micros
+			units    float64
+			want     int
+		}{
+			{0, 0, 3, 1}, {0, 0, 4, 0}, {3 * sec, 0, 5, 1}, {3 * sec, 0, 6, 0}, {10 * sec, 0, 60, 1},
+		} {
+			b := newBench(t, coldSettings(), 1)
+			b.step(restart(b, b.now-c.age))
+			if got := len(sends(b.step(b.ask(0, 0, units(c.units))))); got != c.want {
+				t.Errorf("age %d, %v units: %d sends, want %d", c.age, c.units, got, c.want)
+			}
+		}
+	})
+	t.Run("sends before the news count", func(t *testing.T) {
+		b := newBench(t, coldSettings(), 1)
+		b.step(b.ask(0, 0, units(3)))
+		if got := sends(b.after(100*ms, restart(b, b.now), b.ask(0, 0))); len(got) != 0 {
+			t.Errorf("sent %v on top of the part already used", got)
+		}
+		if got := sends(b.after(sec, b.ask(0, 0))); len(got) != 1 {
+			t.Errorf("sent %v after the window, want one", got)
+		}
+	})
+	t.Run("what it serves may grow", func(t *testing.T) {
+		b := newBench(t, coldSettings(), 1)
+		b.step(restart(b, b.now), b.ask(0, 0, units(3)))
+		b.after(50*ms, end(1, 0, 1, OK))
+		if got := sends(b.after(50*ms, b.ask(0, 0, units(2)))); len(got) != 0 {
+			t.Errorf("sent %v: 5 units are over 1.5 times the 3 served", got)
+		}
+		if got := sends(b.after(0, b.ask(0, 0, units(1)))); len(got) != 1 {
+			t.Errorf("sent %v: 4 units are under 1.5 times the 3 served", got)
+		}
+	})
+}
+
+// TestNodeBackFromTheDead: a node that took no connection twice in a row and answers again counts as cold
+// before the list tells of its restart; a single failed connection does not.
+func TestNodeBackFromTheDead(t *testing.T) {
+	for _, c := range []struct{ fails, want int }{{1, 1}, {2, 0}} {
+		b := newBench(t, coldSettings(), 1)
+		b.step(b.ask(0, 0))
+		for i := range c.fails {
+			b.after(ms, end(1, i, 1, ConnectFailed))
+			if got := sends(b.after(2*ms, TimerFired{})); len(got) != 0 {
+				t.Errorf("tried again at once: %v", got)
+			}
+			b.after(downPause<<i, TimerFired{})
+		}
+		b.after(ms, end(1, c.fails, 1, OK))
+		if got := len(sends(b.step(b.ask(0, 0, units(5))))); got != c.want {
+			t.Errorf("%d failed connections: %d sends of 5 units, want %d", c.fails, got, c.want)
+		}
+		b.h.order[0].window = windowMost
+		b.now += doubt
+		if got := len(sends(b.after(0, b.ask(1, 0, units(5))))); got == 0 {
+			t.Errorf("%d failed connections: still held after the doubt", c.fails)
+		}
+	}
+}
+
+func TestDrainStopsAtOnce(t *testing.T) {
+	for _, list := range []NodeList{
+		{Kind: ListDelta, Nodes: []Node{{ID: 1, State: Draining}}},
+		{Kind: ListDelta, Nodes: []Node{{ID: 1, State: Gone}}},
+		{Kind: ListFull},
+	} {
+		b := newBench(t, plain(), 1)
+		if got := sends(b.step(list, b.ask(0, 0))); len(got) != 0 {
+			t.Errorf("%v: sent %v", list, got)
+		}
+		again := NodeList{Kind: ListDelta, Nodes: []Node{{ID: 7, Cell: 0, State: Ready}}}
+		if got := b.after(100*ms, again); !has(got, Send{Request: 1, Node: 7}) {
+			t.Errorf("%v: %v, want a send to the replacement", list, got)
+		}
+	}
+}
+
+func TestUnknownOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		how   Outcome
+		want  Action // at once; nil: tried again
+	}{
+		{"retryable after an error", 0, Failed, nil},
+		{"fragile after an error", 3, Failed, Surrender{1}},
+		{"fragile after a reset", 3, Reset, Surrender{1}},
+		{"fragile turned away", 3, Full, nil},
+		{"dedup after an error", 2, Failed, nil},
+	} {
+		b := newBench(t, plain(), 2)
+		b.step(b.ask(c.class, 0, cell(-1)))
+		n := b.h.requests[1].attempts[0].node
+		got := b.after(10*ms, end(1, 0, n.ID, c.how))
+		if c.want != nil {
+			if !has(got, c.want) {
+				t.Errorf("%s: %v, want %v", c.name, got, c.want)
+			}
+			continue
+		}
+		got = b.after(2*retryPause, TimerFired{})
+		if len(sends(got)) != 1 {
+			t.Errorf("%s: %v, want a further attempt", c.name, got)
+		}
+		if c.class == 2 && !has(got, Send{Request: 1, Node: n.ID}) {
+			t.Errorf("%s: %v, want it at node %d", c.name, got, n.ID)
+		}
+	}
+}
+
+func TestDedupWindowEndsInSurrender(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	b.step(b.ask(2, 0))
+	b.after(990*ms, end(1, 0, 1, Failed))
+	if got := b.after(20*ms, TimerFired{}); b.h.requests[1] != nil || len(sends(got)) != 0 {
+		t.Errorf("%v after the window: still held or sent", got)
+	}
+}
+
+func TestAnswersInTime(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	b.fill()
+	held, out := b.ask(0, 0), RequestID(1)
+	b.step(held)
+	b.now = held.DropDead - 10*ms
+	if got := b.step(TimerFired{}); !has(got, Deny{Request: held.Request}) {
+		t.Errorf("%v, want a refusal before dropDead", got)
+	}
+	b.now = held.DropDead
+	if got := b.step(end(out, 0, 1, TimedOut)); !has(got, Deny{Request: out}) {
+		t.Errorf("%v, want an answer to the time-out at the deadline", got)
+	}
+	if n := b.h.order[0].out; n != 1 {
+		t.Errorf("%d out at the node, want 1", n)
+	}
+	if got := b.step(ClientGone{2}, ClientGone{2}, ClientGone{99}); len(got) != 0 {
+		t.Errorf("%v for clients that left", got)
+	}
+	b.after(ms, AttemptEnded{Request: 2, Node: 1, Outcome: TimedOut, Settled: true, Load: NoLoad})
+	if n := b.h.order[0].out; n != 0 || len(b.h.requests) != 0 {
+		t.Errorf("%d out, %d requests kept; want none", n, len(b.h.requests))
+	}
+}
+
+func TestOrderByKey(t *testing.T) {
+	s := plain()
+	s.Rules.OrderPause = 100 * ms
+	b := newBench(t, s, 3)
+	b.step(b.ask(2, 0, key(5)), b.ask(2, 0, key(5), cell(1)), b.ask(2, 0, key(6), cell(2)))
+	if b.h.requests[2].out != 0 || b.h.requests[3].out != 1 {
+		t.Error("want the second of key 5 held and key 6 sent")
+	}
+	if got := sends(b.after(10*ms, end(1, 0, 1, OK))); !reflect.DeepEqual(got, []RequestID{2}) {
+		t.Errorf("sent %v, want 2 in its turn", got)
+	}
+	four := b.ask(2, 0, key(5))
+	b.step(four)
+	b.after(2*sec, end(2, 0, 2, TimedOut))
+	if got := sends(b.after(90*ms, TimerFired{})); len(got) != 0 {
+		t.Errorf("sent %v within the pause", got)
+	}
+	b.h.order[0].last = 0
+	if got := sends(b.after(20*ms, TimerFired{})); !reflect.DeepEqual(got, []RequestID{four.Request}) {
+		t.Errorf("sent %v after the pause, want %d", got, four.Request)
+	}
+}
+
+func TestBudget(t *testing.T) {
+	s := plain()
+	s.Rules.BudgetWindow, s.Rules.BudgetFree, s.Rules.BudgetPerTake = sec, 1, 0
+	b := newBench(t, s, 1)
+	b.step(b.ask(0, 0), b.ask(0, 0))
+	b.after(ms, end(1, 0, 1, Failed), end(2, 0, 1, Failed))
+	if got := sends(b.after(100*ms, TimerFired{})); len(got) != 1 {
+		t.Errorf("%d further attempts, want the one that is free", len(got))
+	}
+	b.step(end(1, 1, 1, OK))
+	b.h.order[0].last = 0
+	if got := sends(b.after(1100*ms, TimerFired{})); len(got) != 1 {
+		t.Errorf("%d further attempts in the next window, want 1", len(got))
+	}
+}
+
+func TestStreamHasNoDeadline(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	a := b.ask(4, 0)
+	b.step(a)
+	b.after(ms, StreamStarted{Request: a.Request})
+	b.now = a.DropDead + sec
+	if got := b.step(TimerFired{}); len(got) != 0 {
+		t.Errorf("%v for a stream under way", got)
+	}
+	b.step(AttemptEnded{Request: a.Request, Node: 1, Outcome: Reset, Settled: true, Load: NoLoad})
+	if len(b.h.requests) != 0 {
+		t.Error("the broken stream is still kept")
+	}
+}
+
+func TestSubscribe(t *testing.T) {
+	s := plain()
+	s.Subscribe, s.Rules.AskWithin = true, 4*sec
+	b := newBench(t, s, 1)
+	asked := []Micros{b.now}
+	for b.now < 40*sec {
+		b.now += 10 * ms
+		events := []Event{TimerFired{b.h.token}}
+		if asked[len(asked)-1] == b.now-10*ms {
+			events = append(events, NodeList{Kind: ListFailed})
+		}
+		if has(b.step(events...), Watch{true}) {
+			if gap := b.now - asked[len(asked)-1]; gap > s.Rules.AskWithin {
+				t.Errorf("asked again after %d us", gap)
+			}
+			asked = append(asked, b.now)
+		}
+	}
+	if n := len(asked); n < 10 || n > 25 {
+		t.Errorf("%d asks in 30 s of failures", n)
+	}
+	b.step(NodeList{Kind: ListFull})
+	if got := b.after(100*sec, TimerFired{b.h.token}); has(got, Watch{true}) {
+		t.Error("asked again while subscribed")
+	}
+}
+
+func TestIdleVolumesAgeOut(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	b.step(b.ask(0, 0), b.ask(0, 2))
+	b.after(200*ms, TimerFired{})
+	b.after(10*ms, end(1, 0, 1, OK), end(2, 0, 1, OK))
+	b.after(idleAge+sec, b.ask(0, 1))
+	if len(b.h.volumes) != 1 || len(b.h.ring) != 1 {
+		t.Errorf("%d volumes kept, want the one in use", len(b.h.volumes))
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() []Action {
+		s := newScript(t, ruleSettings(), 7)
+		var all []Action
+		for range 400 {
+			s.now += 2 * ms
+			all = append(all, s.step([]Event{s.arrival()})...)
+		}
+		return all
+	}
+	if a, b := run(), run(); !reflect.DeepEqual(a, b) {
+		t.Error("two hosts with the same seed and events differ")
+	}
+}
+
+func TestNewNamesTheBadField(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"Hosts":            func(s *Settings) { s.Hosts = 0 },
+		"Classes":          func(s *Settings) { s.Classes = nil },
+		"Classes[1].Worth": func(s *Settings) { s.Classes[1].Worth = math.NaN() },
+		"Plans[0].Reserve": func(s *Settings) { s.Plans[0].Reserve = -1 },
+		"Plans[2].Limit":   func(s *Settings) { s.Plans[2].Limit = math.Inf(1) },
+		"Rules.ColdUnits":  func(s *Settings) { s.Rules.ColdUnits = -1 },
+		"UnitTop":          func(s *Settings) { s.UnitTop = math.NaN() },
+		"UsePeriod":        func(s *Settings) { s.UsePeriod = -1 },
+	} {
+		s := plain()
+		change(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
+
+// TestStrangeEvents: what cannot be right is answered or ignored, and never reaches the sums.
+func TestStrangeEvents(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	got := b.step(b.ask(99, 0), b.ask(0, 99), b.ask(0, 0, units(math.NaN()), attached(math.NaN())),
+		b.ask(0, 1, units(-5), attached(0)), end(77, 0, 1, OK), end(2, 9, 1, OK), ClientGone{55},
+		StreamStarted{Request: 44}, ProbeEnded{Node: 9}, TimerFired{1234}, nil)
+	if !has(got, Deny{Request: 1}) {
+		t.Errorf("%v, want a refusal for the unknown class", got)
+	}
+	for _, v := range b.h.ring {
+		if math.IsNaN(v.balance) || math.IsNaN(v.share) || math.IsInf(v.share, 0) || v.attached < 1 {
+			t.Errorf("volume %d: balance %v, share %v, attached %v", v.id, v.balance, v.share, v.attached)
+		}
+	}
+}
--- /dev/null
+++ b/logic/rules_test.go
@@ -0,0 +1,512 @@
+package logic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// checker holds the seven rules against what one host did. It reads events and actions only and shares
+// no code with the module.
+type checker struct {
+	set      Settings
+	began    Micros
+	started  bool
+	reqs     map[RequestID]*seen
+	arrivals []RequestID
+	nodes    map[NodeID]Node
+	stopped  map[NodeID]Micros // told draining or gone at
+	sends    map[NodeID][]sendSeen
+	served   map[NodeID][]sendSeen
+	drawn    map[VolumeID][]sendSeen
+	taken    []Micros
+	extra    []Micros
+	broken   []string
+}
+
+type seen struct {
+	Arrival
+	at       Micros
+	over     bool
+	answers  int
+	attempts []*trySeen
+}
+
+type trySeen struct {
+	node  Node
+	at    Micros
+	done  bool
+	end   Micros
+	how   Outcome
+	rests bool
+}
+
+type sendSeen struct {
+	at    Micros
+	units float64
+}
+
+func newChecker(s Settings) *checker {
+	return &checker{
+		set: s, reqs: map[RequestID]*seen{}, nodes: map[NodeID]Node{}, stopped: map[NodeID]Micros{},
+		sends: map[NodeID][]sendSeen{}, served: map[NodeID][]sendSeen{}, drawn: map[VolumeID][]sendSeen{},
+	}
+}
+
+func (c *checker) fail(format string, a ...any) {
+	c.broken = append(c.broken, fmt.Sprintf(format, a...))
+}
+
+func (t *trySeen) mayHaveRun() bool {
+	return !t.done || t.how == Failed || t.how == TimedOut || t.how == Reset || t.how == Cancelled
+}
+
+func (c *checker) events(now Micros, events []Event) {
+	if !c.started {
+		c.started, c.began = true, now
+	}
+	for _, e := range events {
+		switch e := e.(type) {
+		case Arrival:
+			c.reqs[e.Request] = &seen{Arrival: e, at: now}
+			c.arrivals = append(c.arrivals, e.Request)
+			c.taken = append(c.taken, now)
+		case AttemptEnded:
+			r := c.reqs[e.Request]
+			t := r.attempts[e.Attempt]
+			t.done, t.end, t.how = true, now, e.Outcome
+			if e.Outcome == OK {
+				c.served[e.Node] = append(c.served[e.Node], sendSeen{now, r.Units})
+			}
+			if e.Settled {
+				r.over = true
+			}
+		case ClientGone:
+			c.reqs[e.Request].over = true
+		case NodeList:
+			if e.Kind == ListFailed {
+				continue
+			}
+			if e.Kind != ListDelta {
+				for id := range c.nodes {
+					if _, ok := c.stopped[id]; !ok {
+						c.stopped[id] = now
+					}
+				}
+			}
+			for _, n := range e.Nodes {
+				c.nodes[n.ID] = n
+				if n.State == Ready {
+					delete(c.stopped, n.ID)
+				} else if _, ok := c.stopped[n.ID]; !ok {
+					c.stopped[n.ID] = now
+				}
+			}
+		}
+	}
+}
+
+func (c *checker) actions(now Micros, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			c.send(now, a)
+		case Deny:
+			c.answer(now, a.Request, true)
+		case Surrender:
+			c.answer(now, a.Request, false)
+		}
+	}
+}
+
+func (c *checker) answer(now Micros, id RequestID, denied bool) {
+	r := c.reqs[id]
+	if r == nil {
+		c.fail("answer to unknown request %d", id)
+		return
+	}
+	if r.over {
+		c.fail("rule 1: request %d answered after its end", id)
+	}
+	r.over = true
+	if now > r.DropDead+c.set.Rules.AnswerSlack {
+		c.fail("rule 1: request %d answered %d us late", id, now-r.DropDead)
+	}
+	class := c.set.Classes[r.Class]
+	if denied && class.Repeat != Retryable {
+		for _, t := range r.attempts {
+			if t.mayHaveRun() && (class.Repeat == Fragile || class.Group != GroupAll) {
+				c.fail("rule 2: request %d refused though it may have run", id)
+			}
+		}
+	}
+}
+
+func (c *checker) send(now Micros, a Send) {
+	r, n := c.reqs[a.Request], c.nodes[a.Node]
+	if r == nil || r.over {
+		c.fail("rule 1: send for request %d, unknown or over", a.Request)
+		return
+	}
+	class, rules := c.set.Classes[r.Class], c.set.Rules
+	for _, t := range r.attempts {
+		if !t.done && !c.set.SecondCopies {
+			c.fail("rule 2: two attempts of %d out", r.Request)
+		}
+		if !t.mayHaveRun() {
+			continue
+		}
+		switch class.Repeat {
+		case Fragile:
+			c.fail("rule 2: fragile request %d sent again", r.Request)
+		case Dedup:
+			if now >= t.at+class.RepeatWindow {
+				c.fail("rule 2: %d sent again after its window", r.Request)
+			}
+			if class.Group == GroupCell && n.Cell != t.node.Cell || class.Group == GroupZone && n.Zone != t.node.Zone {
+				c.fail("rule 2: %d sent again outside its group", r.Request)
+			}
+		}
+	}
+	if at, ok := c.stopped[n.ID]; ok && now >= at+rules.StopSending {
+		c.fail("rule 3: send to node %d that drains or is gone", n.ID)
+	}
+	c.sends[n.ID] = append(c.sends[n.ID], sendSeen{now, r.Units})
+	if n.Started > 0 && now < n.Started+rules.ColdTime {
+		c.cold(now, n)
+	}
+	if class.InOrder && r.Key != 0 {
+		c.order(now, r)
+	}
+	if len(r.attempts) > 0 {
+		c.extra = append(c.extra, now)
+		c.budget(now)
+	} else if p := c.set.Plans[r.Plan]; p.Limit > 0 {
+		c.drawn[r.Volume] = append(c.drawn[r.Volume], sendSeen{now, r.Units})
+		c.limit(now, r, p)
+	}
+	r.attempts = append(r.attempts, &trySeen{node: n, at: now})
+}
+
+// cold holds a host to its even part of what a cold node bears, grown with the least its capacity grows,
+// or to half the multiple of what the node has served for it within the window.
+func (c *checker) cold(now Micros, n Node) {
+	rules := c.set.Rules
+	sum := func(l []sendSeen) (u float64) {
+		for _, x := range l {
+			if x.at >= now-rules.OverloadTime {
+				u += x.units
+			}
+		}
+		return u
+	}
+	age := math.Max(0, float64(now-rules.OverloadTime-n.Started)/float64(rules.ColdTime))
+	part := rules.ColdUnits / float64(c.set.Hosts) * (1 + age*(1-rules.ColdFrom)/rules.ColdFrom)
+	if x := sum(c.sends[n.ID]); x > math.Max(part, rules.TipMultiple/2*sum(c.served[n.ID]))+1e-6 {
+		c.fail("rule 4: cold node %d was sent %v units, its part is %v", n.ID, x, part)
+	}
+}
+
+func (c *checker) order(now Micros, r *seen) {
+	for _, id := range c.arrivals {
+		o := c.reqs[id]
+		if o == r {
+			return
+		}
+		if o.Key != r.Key || !c.set.Classes[o.Class].InOrder {
+			continue
+		}
+		if !o.over {
+			c.fail("rule 6: %d sent before %d was over", r.Request, id)
+		}
+		for _, t := range o.attempts {
+			if !t.done {
+				c.fail("rule 6: %d sent while %d has an attempt out", r.Request, id)
+			} else if (t.how == TimedOut || t.how == Reset || t.how == Cancelled) &&
+				now < t.end+c.set.Rules.OrderPause {
+				c.fail("rule 6: %d sent in the pause after %d", r.Request, id)
+			}
+		}
+	}
+}
+
+func (c *checker) budget(now Micros) {
+	rules := c.set.Rules
+	if rules.BudgetWindow == 0 {
+		return
+	}
+	count := func(l []Micros) (n float64) {
+		for _, t := range l {
+			if now-t < rules.BudgetWindow {
+				n++
+			}
+		}
+		return n
+	}
+	if x, most := count(c.extra), rules.BudgetFree+rules.BudgetPerTake*count(c.taken); x > most {
+		c.fail("rule 7: %v further attempts, %v allowed", x, most)
+	}
+}
+
+// limit holds the host to an even slice that is empty when the host starts.
+func (c *checker) limit(now Micros, r *seen, p Plan) {
+	n := r.Attached
+	store, at := -p.LimitSlack/n, c.began
+	for _, d := range c.drawn[r.Volume] {
+		store = math.Min(store+p.Limit/n*float64(d.at-at)/1e6, p.LimitBurst/n) - d.units
+		at = d.at
+	}
+	if store < -p.LimitSlack/n-1e-6 {
+		c.fail("rule 5: volume %d passed its slice by %v", r.Volume, -p.LimitSlack/n-store)
+	}
+}
+
+func (c *checker) finish(now Micros) []string {
+	for id, r := range c.reqs {
+		if !r.over {
+			c.fail("rule 1: request %d never answered by %d", id, now)
+		}
+	}
+	return c.broken
+}
+
+func ruleSettings() Settings {
+	return Settings{
+		Hosts: 3, Tick: 2 * ms, MaxAttempts: 4, UnitMean: 2, UnitTop: 6, UsePeriod: sec, TellsElsewhere: true,
+		Classes: []Class{
+			{Aim: 400 * ms, Deadline: 2 * sec, Worth: 3, Repeat: Retryable},
+			{Aim: 700 * ms, Deadline: 3 * sec, Worth: 2, Repeat: Dedup, Group: GroupCell, RepeatWindow: sec,
+				InOrder: true, Writes: true},
+			{Aim: 700 * ms, Deadline: 3 * sec, Worth: 2, Repeat: Dedup, Group: GroupZone, RepeatWindow: sec},
+			{Aim: 700 * ms, Deadline: 3 * sec, Worth: 2, Repeat: Dedup, Group: GroupAll, RepeatWindow: sec},
+			{Aim: 700 * ms, Deadline: 3 * sec, Worth: 1, Repeat: Fragile, InOrder: true},
+		},
+		Plans: []Plan{
+			{Rate: 5, Reserve: 2, Weight: 1, Limit: 20, LimitBurst: 40, LimitSlack: 6},
+			{Rate: 10, Reserve: 8, Weight: 3},
+		},
+		Rules: Rules{
+			AnswerSlack: 8 * ms, StopSending: 250 * ms, ColdFrom: 0.2, ColdTime: 3 * sec, ColdUnits: 9,
+			OverloadTime: sec, TipMultiple: 3, OrderPause: 100 * ms, BudgetWindow: 2 * sec, BudgetFree: 3,
+			BudgetPerTake: 0.1,
+		},
+	}
+}
+
+// script drives a host with seeded random events that are legal on the interface; it models no server.
+type script struct {
+	t       *testing.T
+	rng     *rand.Rand
+	host    *Host
+	check   *checker
+	now     Micros
+	nextID  RequestID
+	out     []outstanding
+	timers  []TimerFired
+	fireAt  []Micros
+	nodes   []Node
+	tries   map[RequestID]int
+	ordered bool
+}
+
+type outstanding struct {
+	id      RequestID
+	attempt int
+	node    NodeID
+	at, end Micros
+	how     Outcome
+}
+
+func (s *script) step(events []Event) []Action {
+	s.check.events(s.now, events)
+	actions := s.host.Step(s.now, events, nil)
+	s.check.actions(s.now, actions)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			r := s.check.reqs[a.Request]
+			o := outstanding{id: a.Request, attempt: s.tries[a.Request], node: a.Node, at: s.now}
+			s.tries[a.Request]++
+			if s.rng.IntN(4) == 0 {
+				o.how = []Outcome{Failed, Full, Failed, TimedOut, ConnectFailed, Reset, Moot, OK}[s.rng.IntN(8)]
+			}
+			o.end = s.now + Micros(s.rng.IntN(120_000)) + ms
+			if o.how == TimedOut || o.end > r.DropDead {
+				o.how, o.end = TimedOut, r.DropDead
+			}
+			s.out = append(s.out, o)
+		case Wake:
+			s.timers = append(s.timers, TimerFired{a.Token})
+			s.fireAt = append(s.fireAt, s.now+a.After)
+		}
+	}
+	return actions
+}
+
+func (s *script) run(steps int) {
+	for i := range steps {
+		s.now += 2 * ms
+		var events []Event
+		for j := 0; j < len(s.timers); {
+			if s.fireAt[j] <= s.now {
+				events = append(events, s.timers[j])
+				s.timers = append(s.timers[:j], s.timers[j+1:]...)
+				s.fireAt = append(s.fireAt[:j], s.fireAt[j+1:]...)
+			} else {
+				j++
+			}
+		}
+		for j := 0; j < len(s.out); {
+			o := s.out[j]
+			if o.end > s.now {
+				j++
+				continue
+			}
+			r := s.check.reqs[o.id]
+			events = append(events, AttemptEnded{Request: o.id, Attempt: o.attempt, Node: o.node, Outcome: o.how,
+				Took: s.now - o.at, Settled: r.over || o.how == OK, Load: NoLoad,
+				Used: s.rng.IntN(200), Elsewhere: s.rng.IntN(4)})
+			s.out = append(s.out[:j], s.out[j+1:]...)
+		}
+		if i < steps-1700 {
+			for s.rng.IntN(4) == 0 {
+				events = append(events, s.arrival())
+			}
+			if s.rng.IntN(40) == 0 && s.nextID > 1 {
+				if r := s.check.reqs[RequestID(s.rng.IntN(int(s.nextID)-1)+1)]; r != nil && !r.over {
+					events = append(events, ClientGone{r.Request})
+				}
+			}
+			if s.rng.IntN(600) == 0 {
+				events = append(events, s.change())
+			}
+		}
+		if len(events) > 0 {
+			s.step(events)
+		}
+	}
+}
+
+func (s *script) arrival() Arrival {
+	s.nextID++
+	v := s.rng.IntN(6)
+	a := Arrival{Request: s.nextID, Class: s.rng.IntN(5), Cell: s.rng.IntN(6) - 1, Key: uint64(s.rng.IntN(8)),
+		Volume: VolumeID(v), Plan: v % 2, Attached: float64(v%3 + 1), Units: float64(1 + s.rng.IntN(6))}
+	a.DropDead = s.now + s.check.set.Classes[a.Class].Deadline - Micros(s.rng.IntN(900_000))
+	return a
+}
+
+func (s *script) change() NodeList {
+	n := &s.nodes[s.rng.IntN(len(s.nodes))]
+	switch n.State {
+	case Ready:
+		n.State = Draining
+		if s.rng.IntN(2) == 0 {
+			n.State, n.Started = Ready, s.now-Micros(s.rng.IntN(2_000_000))
+		}
+	case Draining:
+		n.State = Gone
+	case Gone:
+		n.State, n.Started = Ready, s.now-Micros(s.rng.IntN(2_000_000))
+	}
+	return NodeList{Kind: ListDelta, Nodes: []Node{*n}}
+}
+
+func newScript(t *testing.T, set Settings, seed uint64) *script {
+	h, err := New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{t: t, rng: rand.New(rand.NewPCG(seed, 1)), host: h, check: newChecker(set), now: 7 * sec,
+		tries: map[RequestID]int{}}
+	for i := range 5 {
+		s.nodes = append(s.nodes, Node{ID: NodeID(100 + i), Zone: i % 2, Cell: i, Rating: 1, State: Ready})
+	}
+	s.step([]Event{NodeList{Kind: ListCached, Nodes: append([]Node(nil), s.nodes...)}})
+	return s
+}
+
+// TestRulesUnderRandomScripts holds the seven rules against scripts of failures, restarts and drains.
+func TestRulesUnderRandomScripts(t *testing.T) {
+	served := 0
+	for seed := range uint64(40) {
+		s := newScript(t, ruleSettings(), seed)
+		s.run(4500)
+		for i, b := range s.check.finish(s.now) {
+			if i < 5 {
+				t.Errorf("seed %d: %s", seed, b)
+			}
+		}
+		for _, r := range s.check.reqs {
+			if n := len(r.attempts); n > 0 && r.attempts[n-1].how == OK {
+				served++
+			}
+		}
+	}
+	if served < 6000 {
+		t.Errorf("only %d requests were served: the scripts drive nothing", served)
+	}
+}
+
+// TestCheckerSeesBrokenRules shows that the checker fails on actions that break each rule.
+func TestCheckerSeesBrokenRules(t *testing.T) {
+	node := func(id NodeID, cell int) Node { return Node{ID: id, Cell: cell, Zone: cell % 2, State: Ready} }
+	list := NodeList{Kind: ListFull, Nodes: []Node{node(1, 0), node(2, 1)}}
+	arrive := func(id RequestID, class int, key uint64) Arrival {
+		return Arrival{Request: id, Class: class, Key: key, Volume: 1, Plan: 1, Attached: 1, Units: 1,
+			DropDead: 3 * sec}
+	}
+	cold := list
+	cold.Nodes = []Node{{ID: 1, State: Ready, Started: 1}}
+	large := arrive(1, 0, 0)
+	large.Units = 6
+	type moment struct {
+		at      Micros
+		events  []Event
+		actions []Action
+	}
+	ended := func(id RequestID, how Outcome) AttemptEnded {
+		return AttemptEnded{Request: id, Node: 1, Outcome: how}
+	}
+	for _, c := range []struct {
+		name    string
+		moments []moment
+	}{
+		{"1: lost", []moment{{0, []Event{list, arrive(1, 0, 0)}, nil}}},
+		{"1: late", []moment{{0, []Event{list, arrive(1, 0, 0)}, nil}, {4 * sec, nil, []Action{Deny{Request: 1}}}}},
+		{"1: twice", []moment{{0, []Event{list, arrive(1, 0, 0)}, []Action{Deny{Request: 1}, Deny{Request: 1}}}}},
+		{"1: sent after the end", []moment{{0, []Event{list, arrive(1, 0, 0)},
+			[]Action{Deny{Request: 1}, Send{Request: 1, Node: 1}}}}},
+		{"2: fragile again", []moment{{0, []Event{list, arrive(1, 4, 0)}, []Action{Send{Request: 1, Node: 1}}},
+			{ms, []Event{ended(1, Failed)}, []Action{Send{Request: 1, Node: 1}, Surrender{1}}}}},
+		{"2: refused after it may have run", []moment{{0, []Event{list, arrive(1, 1, 0)},
+			[]Action{Send{Request: 1, Node: 1}}}, {ms, []Event{ended(1, Failed)}, []Action{Deny{Request: 1}}}}},
+		{"2: outside the group", []moment{{0, []Event{list, arrive(1, 1, 0)}, []Action{Send{Request: 1, Node: 1}}},
+			{ms, []Event{ended(1, Failed)}, []Action{Send{Request: 1, Node: 2}, Surrender{1}}}}},
+		{"2: outside the window", []moment{{0, []Event{list, arrive(1, 1, 0)}, []Action{Send{Request: 1, Node: 1}}},
+			{ms, []Event{ended(1, Failed)}, nil}, {2 * sec, nil, []Action{Send{Request: 1, Node: 1}, Surrender{1}}}}},
+		{"3: drained", []moment{{0, []Event{list, arrive(1, 0, 0)}, nil},
+			{ms, []Event{NodeList{Kind: ListDelta, Nodes: []Node{{ID: 1, State: Draining}}}}, nil},
+			{sec, nil, []Action{Send{Request: 1, Node: 1}, Deny{Request: 1}}}}},
+		{"4: cold", []moment{{ms, []Event{cold, large}, []Action{Send{Request: 1, Node: 1}, Deny{Request: 1}}}}},
+		{"5: limit", []moment{{0, []Event{list, Arrival{Request: 1, Volume: 1, Attached: 2, Units: 6,
+			DropDead: sec}}, []Action{Send{Request: 1, Node: 1}, Deny{Request: 1}}}}},
+		{"6: out of turn", []moment{{0, []Event{list, arrive(1, 1, 9), arrive(2, 1, 9)},
+			[]Action{Send{Request: 2, Node: 1}, Deny{Request: 1}, Surrender{2}}}}},
+		{"7: budget", []moment{{0, []Event{list, arrive(1, 0, 0)}, []Action{Send{Request: 1, Node: 1},
+			Send{Request: 1, Node: 1}, Send{Request: 1, Node: 1}, Send{Request: 1, Node: 1},
+			Send{Request: 1, Node: 1}, Send{Request: 1, Node: 1}, Deny{Request: 1}}}}},
+	} {
+		set := ruleSettings()
+		set.SecondCopies = true
+		ch := newChecker(set)
+		for _, m := range c.moments {
+			ch.events(m.at, m.events)
+			ch.actions(m.at, m.actions)
+		}
+		if len(ch.finish(5*sec)) == 0 {
+			t.Errorf("%s: the checker saw nothing", c.name)
+		}
+	}
+}
