--- /dev/null
+++ b/logic/example_test.go
@@ -0,0 +1,45 @@
+package logic_test
+
+import (
+	"fmt"
+
+	"appleplank/logic"
+)
+
+// An initiator of one's own: hand events to Step, carry out what comes back. Here one request goes to the
+// node that holds its shard, and a second waits until a request of the first kind has been answered.
+func Example() {
+	host, err := logic.New(logic.Settings{
+		Hosts:   2,
+		Classes: []logic.Class{{Aim: 500_000, Deadline: 4_000_000, Worth: 2, Repeat: logic.Retryable}},
+		Plans:   []logic.Plan{{Rate: 20, Reserve: 10, Weight: 1}},
+	}, 42)
+	if err != nil {
+		panic(err)
+	}
+	do := func(now logic.Micros, events ...logic.Event) {
+		for _, action := range host.Step(now, events, nil) {
+			switch a := action.(type) {
+			case logic.Send:
+				fmt.Printf("%d us: send request %d to node %d\n", now, a.Request, a.Node)
+			case logic.Deny:
+				fmt.Printf("%d us: refuse request %d\n", now, a.Request)
+			case logic.Wake:
+				// start a timer; hand TimerFired{a.Token} to Step when it ends
+			}
+		}
+	}
+	ask := func(id logic.RequestID, shard int) logic.Arrival {
+		return logic.Arrival{Request: id, Cell: shard, Volume: 1, Attached: 1, Units: 1, DropDead: 4_000_000}
+	}
+	do(0, logic.NodeList{Kind: logic.ListFull, Nodes: []logic.Node{{ID: 7, Cell: 0, State: logic.Ready}}})
+	do(1000, ask(1, 0), ask(2, 5))
+	do(60_000, logic.AttemptEnded{Request: 1, Node: 7, Outcome: logic.OK, Took: 59_000, Settled: true,
+		Load: logic.NoLoad})
+	do(70_000, logic.NodeList{Kind: logic.ListDelta, Nodes: []logic.Node{{ID: 8, Cell: 5, State: logic.Ready}}})
+	do(5_000_000, ask(3, 0))
+	// Output:
+	// 1000 us: send request 1 to node 7
+	// 70000 us: send request 2 to node 8
+	// 5000000 us: refuse request 3
+}
