Lost attempts: overdue and overtaken ones free their place in the window

Symptom: service fell from 86% to 28% with idle nodes, 40 ms answers and 5% of attempts timed out at the client's deadline. Cause: ten of twelve nodes answered only part of what was sent; each missing answer held one of two places for 4 to 6 s. Told apart from slow or hung nodes by the answers that did come, fast and sent later.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,6 +32,11 @@
 	aimPart = 0.5
 	// smooth is the weight of a new sample in a node's smoothed figures.
 	smooth = 0.2
+	// An attempt is overdue after overdueBy times the node's usual answer time for its size, overdueLeast
+	// at the least and its class's aim at the most; and lost once lostPassed later ones were answered.
+	overdueBy    = 4
+	overdueLeast = 100 * ms
+	lostPassed   = 2
 	// lateRest is how long a node must have had nothing of this host before a request that can no longer
 	// make its aim may go there.
 	lateRest = 250 * ms
@@ -99,6 +104,7 @@
 			}
 		}
 	}
+	h.lose()
 	h.expire()
 	h.releaseChains()
 	h.runCycle()
@@ -244,12 +250,11 @@
 	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].done {
 		return
 	}
-	a := &r.attempts[e.Attempt]
+	a := r.attempts[e.Attempt]
 	a.done = true
 	r.out--
 	n := a.node
-	n.out--
-	n.units -= r.units
+	n.land(a)
 	n.last = h.now
 	h.learn(r, a, e)
 	ran := false
@@ -578,13 +583,14 @@
 	if isLate != late {
 		return nil
 	}
-	if best.down > 0 && (best.out > 0 || h.now < best.downAt+best.down) {
+	if best.down > 0 && (len(best.flight) > 0 || h.now < best.downAt+best.down) {
 		return nil
 	}
-	if late && (best.out > 0 || h.now-best.last < lateRest || !r.charged && !h.sliceFull(r.vol)) {
+	if late && (len(best.flight) > 0 || h.now-best.last < lateRest || !r.charged && !h.sliceFull(r.vol)) {
 		return nil
 	}
-	if float64(best.out)+1 > room || !h.coldAllows(best, r) || len(r.attempts) > 0 && !h.budgetAllows() {
+	if float64(len(best.flight))+1 > room && !h.tryPast(best) || !h.coldAllows(best, r) ||
+		len(r.attempts) > 0 && !h.budgetAllows() {
 		return nil
 	}
 	return best
@@ -602,9 +608,13 @@
 	if len(r.attempts) > 0 && h.set.Rules.BudgetWindow > 0 {
 		h.extra = append(h.extra, h.now)
 	}
-	r.attempts = append(r.attempts, attempt{node: n, sent: h.now})
+	if h.tryPast(n) {
+		n.silent++
+	}
+	a := &attempt{req: r, node: n, sent: h.now}
+	r.attempts = append(r.attempts, a)
 	r.out++
-	n.out++
+	n.flight = append(n.flight, a)
 	n.units += r.units
 	n.last = h.now
 	n.sent.add(h.now, r.units)
@@ -653,6 +663,12 @@
 	switch e.Outcome {
 	case OK:
 		v.own.add(h.now, r.units, meterTime)
+		n.silent = 0
+		for _, x := range n.flight {
+			if x.sent < a.sent {
+				x.passed++
+			}
+		}
 		n.served.add(h.now, r.units)
 		if n.latency == 0 {
 			n.latency = float64(took)
@@ -660,7 +676,7 @@
 		n.latency += smooth * (float64(took) - n.latency)
 		if float64(took) > aimPart*float64(r.class.Aim) {
 			h.halve(n, a)
-		} else if float64(n.out+1) >= n.window/2 {
+		} else if float64(len(n.flight)+1) >= n.window/2 {
 			n.window = min(n.window+1/n.window, windowMost)
 		}
 	case Full, TimedOut, ConnectFailed:
@@ -674,9 +690,56 @@
 	n.failing += smooth * (bad - n.failing)
 }
 
+// overdue tells whether an answer should have come long ago.
+func (h *Host) overdue(a *attempt) bool {
+	by := overdueBy * a.node.latency * max(1, a.req.units/max(h.set.UnitMean, 1))
+	return h.now-a.sent > min(max(Micros(by), overdueLeast), a.req.class.Aim)
+}
+
+// lose gives up for lost what is overdue while the node has answered others since. Guards against answers
+// that never come (a lossy link, requests dropped at the node): each would hold its place in a window of
+// two until its deadline. Harm: a request that is only heavy lets one more go to the node.
+func (h *Host) lose() {
+	for _, n := range h.order {
+		for i := 0; i < len(n.flight); {
+			if a := n.flight[i]; a.passed >= lostPassed && h.overdue(a) {
+				n.land(a)
+				a.lost = true
+				n.failing += smooth * (1 - n.failing)
+			} else {
+				i++
+			}
+		}
+	}
+}
+
+// tryPast lets one request at a time past a window that is held by overdue attempts alone, with doubling
+// pauses: its answer tells lost attempts from a node that hangs.
+func (h *Host) tryPast(n *node) bool {
+	if len(n.flight) == 0 || float64(len(n.flight)) < math.Floor(n.window) {
+		return false
+	}
+	for _, a := range n.flight {
+		if !h.overdue(a) {
+			return false
+		}
+	}
+	return h.now-n.last > overdueLeast<<min(n.silent, 6)
+}
+
+// land takes an attempt out of the window.
+func (n *node) land(a *attempt) {
+	for i, x := range n.flight {
+		if x == a {
+			n.flight = append(n.flight[:i], n.flight[i+1:]...)
+			n.units -= a.req.units
+		}
+	}
+}
+
 // halve shuts a node's window by half, at most once a round trip.
 func (h *Host) halve(n *node, a *attempt) {
-	if a.sent < n.halved {
+	if a.sent < n.halved || a.lost {
 		return
 	}
 	n.window = max(n.window/2, windowLeast)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -483,14 +483,14 @@
 	if got := b.step(end(out, 0, 1, TimedOut)); !has(got, Deny{Request: out}) {
 		t.Errorf("%v, want an answer to the time-out at the deadline", got)
 	}
-	if n := b.h.order[0].out; n != 1 {
+	if n := len(b.h.order[0].flight); n != 1 {
 		t.Errorf("%d out at the node, want 1", n)
 	}
 	if got := b.step(ClientGone{2}, ClientGone{2}, ClientGone{99}); len(got) != 0 {
 		t.Errorf("%v for clients that left", got)
 	}
 	b.after(ms, AttemptEnded{Request: 2, Node: 1, Outcome: TimedOut, Settled: true, Load: NoLoad})
-	if n := b.h.order[0].out; n != 0 || len(b.h.requests) != 0 {
+	if n := len(b.h.order[0].flight); n != 0 || len(b.h.requests) != 0 {
 		t.Errorf("%d out, %d requests kept; want none", n, len(b.h.requests))
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -45,7 +45,7 @@
 	arrived  Micros
 	aimAt    Micros
 	dropDead Micros
-	attempts []attempt
+	attempts []*attempt
 	out      int
 	queued   bool // in a lane of its volume
 	waiting  bool // held: owed an answer, no attempt out
@@ -60,9 +60,12 @@
 }
 
 type attempt struct {
-	node *node
-	sent Micros
-	done bool
+	req    *request
+	node   *node
+	sent   Micros
+	passed int  // answers of the node to attempts sent later
+	lost   bool // given up for lost: it holds no place in the window any more
+	done   bool
 }
 
 // volume is one queue: a balance in units and a lane for each shard its requests wait for.
@@ -109,11 +112,12 @@
 	Node
 	window  float64
 	halved  Micros
-	out     int
-	units   float64 // units out from this host
-	latency float64 // smoothed time of answers, in Micros
-	last    Micros  // last send or answer
-	down    Micros  // pause after connections failed; 0: they do not
+	flight  []*attempt // out from this host and not lost
+	units   float64    // their units
+	silent  int        // tries in a row made past overdue attempts
+	latency float64    // smoothed time of answers, in Micros
+	last    Micros     // last send or answer
+	down    Micros     // pause after connections failed; 0: they do not
 	downAt  Micros
 	revived Micros  // when its process may have started, going by its connections
 	failing float64 // smoothed share of attempts that failed
