--- a/logic/logic.go
+++ b/logic/logic.go
@@ -69,7 +69,7 @@
 	return &Host{
 		set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		requests: map[RequestID]*request{}, volumes: map[VolumeID]*volume{},
-		nodes: map[NodeID]*node{}, chains: map[uint64]*chain{}, backlog: map[int]float64{},
+		nodes: map[NodeID]*node{}, chains: map[uint64]*chain{},
 	}, nil
 }
 
@@ -485,16 +485,6 @@
 		return
 	}
 	h.age()
-	clear(h.backlog)
-	for _, v := range h.ring {
-		for _, l := range v.lanes {
-			for _, r := range l.q {
-				if h.now < r.aimAt {
-					h.backlog[r.cell] += r.units
-				}
-			}
-		}
-	}
 	for _, late := range []bool{false, true} {
 		h.turn++
 		for i := range h.ring {
@@ -573,7 +563,7 @@
 		if r.maybe && r.class.Group == GroupZone && n.Zone != r.group.Zone {
 			continue
 		}
-		load := (n.units + h.backlog[n.Cell] + r.units) * max(n.latency, 1)
+		load := (n.units + r.units) * max(n.latency, 1)
 		if n.failing > sick {
 			if ill == nil || load < illLeast {
 				ill, illLeast = n, load
