--- a/logic/logic.go
+++ b/logic/logic.go
@@ -69,7 +69,7 @@
 	return &Host{
 		set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		requests: map[RequestID]*request{}, volumes: map[VolumeID]*volume{},
-		nodes: map[NodeID]*node{}, chains: map[uint64]*chain{}, lastKey: map[int]uint64{},
+		nodes: map[NodeID]*node{}, chains: map[uint64]*chain{},
 	}, nil
 }
 
@@ -529,7 +529,7 @@
 	var at *node
 	for _, l := range v.lanes {
 		for _, r := range l.q {
-			if r.after > h.now || best != nil && !h.leads(r, best) {
+			if r.after > h.now || best != nil && !r.leads(best) {
 				continue
 			}
 			if n := h.place(r, late); n != nil {
@@ -543,22 +543,14 @@
 	return best, at
 }
 
-// leads orders the requests of one volume: the class worth most per unit first, then what continues the
-// run of one key at its node, as that costs the node less, then the turn of arrival.
-func (h *Host) leads(r, o *request) bool {
+// leads orders the requests of one volume: the class worth most per unit first, then in turn of arrival.
+func (r *request) leads(o *request) bool {
 	if r.class.Worth != o.class.Worth {
 		return r.class.Worth > o.class.Worth
 	}
-	if x, y := h.joins(r), h.joins(o); x != y {
-		return x
-	}
 	return r.seq < o.seq
 }
 
-func (h *Host) joins(r *request) bool {
-	return r.cell >= 0 && r.key != 0 && len(r.attempts) == 0 && h.lastKey[r.cell] == r.key
-}
-
 // place finds the node for r: the one that holds its shard, or for a new object the one with the
 // least estimated outstanding load; nil where none may take it now.
 func (h *Host) place(r *request, late bool) *node {
@@ -623,7 +615,6 @@
 	r.attempts = append(r.attempts, a)
 	r.out++
 	n.flight = append(n.flight, a)
-	h.lastKey[n.Cell] = r.key
 	n.units += r.units
 	n.last = h.now
 	n.sent.add(h.now, r.units)
--- a/logic/state.go
+++ b/logic/state.go
@@ -23,7 +23,6 @@
 	nodes    map[NodeID]*node
 	order    []*node // by id
 	chains   map[uint64]*chain
-	lastKey  map[int]uint64 // key last sent for each shard
 	seq      uint64
 	held     int // requests without an attempt out that are owed an answer
 	wakeAt   Micros
