Window under one, a window for each pass, slices of the reservation that sum to it

The wait at the node is now measured apart from the work (took less units x usual unit time), each pass has its own window, both starting and ending at parts of a total over all hosts, with a pause after the send while under one; a request out for long shuts them before its answer comes. Debts of a queue are repaid while it is idle, else a volume of few requests never gets its first pass. Slice: own part of the metered total.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,13 +23,23 @@
 	// answerBy is how long before its dropDead a held request gets its final answer: a cycle and change.
 	answerBy = cycle + 5*ms
 
-	// windowStart, windowLeast and windowMost bound the requests a host has out at one node.
-	windowStart = 2.0
-	windowLeast = 1.0
-	windowMost  = 2.0
-	// aimPart: an answer that took more than this part of its class's aim counts as past it, as the
-	// wait at the node has to leave room for the wait at the host.
-	aimPart = 0.5
+	// Each node has a window for each pass: the first pass holds what is reserved, and goes on until the
+	// node's wait eats into the aims; the second takes only room that is left, so it shuts long before.
+	// windowMost bounds both. A window under one means one request out and a pause after its send.
+	windowMost = 2.0
+	leastTotal = 3.0
+	// spareTotal is what all hosts together have out at one node from the second pass at the start: a few.
+	spareTotal = 8.0
+	// windowGrow is the growth of a window under one with each good answer, as a part of it.
+	windowGrow = 1.0
+	// reservePart and sparePart: a request that waited at the node for more than this part of the
+	// shortest aim shuts the window of the first pass, of the second. The queue at a node is one for all
+	// classes, so the shortest aim counts.
+	reservePart = 0.5
+	sparePart   = 0.35
+	// newsOld is how long an answer tells of its node's wait; after it a shut window with nothing out
+	// doubles in each such time again, up to where it started.
+	newsOld = 1 * sec
 	// smooth is the weight of a new sample in a node's smoothed figures.
 	smooth = 0.2
 	// An attempt is overdue after overdueBy times the node's usual answer time for its size, overdueLeast
@@ -61,13 +71,19 @@
 	askAgain = 500 * ms
 )
 
+var passParts = [2]float64{reservePart, sparePart}
+
 // New starts a host. Settings that cannot be right give an error that names the field.
 func New(s Settings, seed uint64) (*Host, error) {
 	if err := s.check(); err != nil {
 		return nil, err
 	}
+	short := s.Classes[0].Aim
+	for _, c := range s.Classes {
+		short = min(short, c.Aim)
+	}
 	return &Host{
-		set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		set: s, shortAim: short, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		requests: map[RequestID]*request{}, volumes: map[VolumeID]*volume{},
 		nodes: map[NodeID]*node{}, chains: map[uint64]*chain{},
 	}, nil
@@ -104,6 +120,7 @@
 			}
 		}
 	}
+	h.watch()
 	h.lose()
 	h.expire()
 	h.releaseChains()
@@ -221,6 +238,9 @@
 		v.lanes = append(v.lanes, l)
 	}
 	if v.waiting == 0 {
+		if v.balance < 0 {
+			v.balance = min(v.balance+h.reservation(v)*seconds(h.now-v.credited), 0)
+		}
 		v.credited = h.now
 		v.share = max(v.share, h.spare)
 	}
@@ -390,11 +410,11 @@
 	for _, x := range e.Nodes {
 		n := h.nodes[x.ID]
 		if n == nil {
-			n = &node{window: windowStart}
+			n = &node{window: [2]float64{h.opening(0), h.opening(1)}}
 			h.nodes[x.ID] = n
 			h.order = append(h.order, n)
 		} else if x.Started != n.Started {
-			n.window, n.latency, n.failing = windowStart, 0, 0
+			n.window, n.latency, n.failing = [2]float64{h.opening(0), h.opening(1)}, 0, 0
 		}
 		n.Node = x
 	}
@@ -450,21 +470,21 @@
 	v.balance = min(v.balance, max(rate*burst, h.set.UnitTop))
 }
 
-// reservation is this host's part of the plan's reservation: less what others serve, where answers
-// tell, and never under the even slice.
+// reservation is this host's part of the plan's reservation: the even slice, or where answers tell what
+// the volume gets through all hosts, the part that goes through this one and half of what nobody uses.
+// The parts of all hosts add up to the whole, so that a jam, where little is served, frees no flood.
 func (h *Host) reservation(v *volume) float64 {
 	whole := v.plan.Reserve
 	slice := whole / v.attached
-	if v.attached <= 1 || !h.set.TellsElsewhere && h.set.UsePeriod <= 0 {
-		return slice
-	}
-	others := v.others.get(h.now, meterTime)
-	if h.now-v.totalAt < meterOld && v.totalAt > 0 {
-		others = max(others, v.total-v.own.get(h.now, meterTime))
-	} else if !h.set.TellsElsewhere {
-		return slice
+	own, total := v.own.get(h.now, meterTime), v.total
+	if v.totalAt == 0 || h.now-v.totalAt >= meterOld {
+		if !h.set.TellsElsewhere {
+			return slice
+		}
+		total = own + v.others.get(h.now, meterTime)
 	}
-	return min(max(whole-others, slice), whole)
+	mine := whole*own/max(total, own, 1) + max(whole-total, 0)/2
+	return min(max(slice, mine), whole)
 }
 
 // weight is the queue's part in the second pass.
@@ -494,7 +514,7 @@
 			}
 			h.credit(v)
 			for v.balance >= 0 && v.waiting > 0 {
-				r, n := h.next(v, late)
+				r, n := h.next(v, 0, late)
 				if r == nil {
 					break
 				}
@@ -509,7 +529,7 @@
 				if v.waiting == 0 || best != nil && v.share >= best.vol.share {
 					continue
 				}
-				if r, n := h.next(v, late); r != nil {
+				if r, n := h.next(v, 1, late); r != nil {
 					best, at = r, n
 				}
 			}
@@ -524,7 +544,7 @@
 }
 
 // next is the request of v that leaves next and the node it goes to, or nil.
-func (h *Host) next(v *volume, late bool) (*request, *node) {
+func (h *Host) next(v *volume, pass int, late bool) (*request, *node) {
 	var best *request
 	var at *node
 	for _, l := range v.lanes {
@@ -532,7 +552,7 @@
 			if r.after > h.now || best != nil && !r.leads(best) {
 				continue
 			}
-			if n := h.place(r, late); n != nil {
+			if n := h.place(r, pass, late); n != nil {
 				best, at = r, n
 			}
 		}
@@ -553,7 +573,7 @@
 
 // place finds the node for r: the one that holds its shard, or for a new object the one with the
 // least estimated outstanding load; nil where none may take it now.
-func (h *Host) place(r *request, late bool) *node {
+func (h *Host) place(r *request, pass int, late bool) *node {
 	var best, ill *node
 	var least, illLeast float64
 	for _, n := range h.order {
@@ -578,8 +598,7 @@
 	if best == nil {
 		return nil
 	}
-	room := best.window
-	isLate := h.now+Micros(best.latency) > r.aimAt
+	isLate := h.now+Micros(h.wait(best)+h.unit*r.units) > r.aimAt
 	if isLate != late {
 		return nil
 	}
@@ -589,7 +608,7 @@
 	if late && (len(best.flight) > 0 || h.now-best.last < lateRest || !r.charged && !h.sliceFull(r.vol)) {
 		return nil
 	}
-	if float64(len(best.flight))+1 > room && !h.tryPast(best) || !h.coldAllows(best, r) ||
+	if !h.room(best, pass) && !h.tryPast(best) || !h.coldAllows(best, r) ||
 		len(r.attempts) > 0 && !h.budgetAllows() {
 		return nil
 	}
@@ -616,7 +635,7 @@
 	r.out++
 	n.flight = append(n.flight, a)
 	n.units += r.units
-	n.last = h.now
+	n.last, n.sentAt = h.now, h.now
 	n.sent.add(h.now, r.units)
 	h.emit(Send{Request: r.id, Node: n.ID})
 }
@@ -674,13 +693,21 @@
 			n.latency = float64(took)
 		}
 		n.latency += smooth * (float64(took) - n.latency)
-		if float64(took) > aimPart*float64(r.class.Aim) {
-			h.halve(n, a)
-		} else if float64(len(n.flight)+1) >= n.window/2 {
-			n.window = min(n.window+1/n.window, windowMost)
+		h.learnUnit(float64(took) / r.units)
+		wait := max(float64(took)-h.unit*r.units, 0)
+		n.wait, n.waitAt = wait, h.now
+		for p, part := range passParts {
+			if past := part * float64(h.shortAim); wait > past {
+				h.shut(n, p, a, past/wait)
+			} else if w := h.window(n, p); w < 1 {
+				n.window[p] = w * (1 + windowGrow)
+			} else if float64(len(n.flight)+1) >= w/2 {
+				n.window[p] = min(w+1/w, windowMost)
+			}
 		}
 	case Full, TimedOut, ConnectFailed:
-		h.halve(n, a)
+		h.shut(n, 0, a, 0)
+		h.shut(n, 1, a, 0)
 		bad = 1
 	case Failed, Reset:
 		bad = 1
@@ -716,7 +743,7 @@
 // tryPast lets one request at a time past a window that is held by overdue attempts alone, with doubling
 // pauses: its answer tells lost attempts from a node that hangs.
 func (h *Host) tryPast(n *node) bool {
-	if len(n.flight) == 0 || float64(len(n.flight)) < math.Floor(n.window) {
+	if len(n.flight) == 0 || float64(len(n.flight)) < math.Floor(n.window[0]) {
 		return false
 	}
 	for _, a := range n.flight {
@@ -737,13 +764,84 @@
 	}
 }
 
-// halve shuts a node's window by half, at most once a round trip.
-func (h *Host) halve(n *node, a *attempt) {
-	if a.sent < n.halved || a.lost {
+// shut shuts a window to the given part, at most by half and at most once a round trip.
+func (h *Host) shut(n *node, pass int, a *attempt, part float64) {
+	if a.sent < n.halved[pass] || a.lost {
 		return
 	}
-	n.window = max(n.window/2, windowLeast)
-	n.halved = h.now
+	n.window[pass] = max(h.window(n, pass)*max(part, 0.5), h.least())
+	n.halved[pass] = h.now
+}
+
+// opening is where a window starts: the first pass at its most, the second at this host's part of a few.
+func (h *Host) opening(pass int) float64 {
+	if pass == 0 {
+		return windowMost
+	}
+	return min(windowMost, spareTotal/float64(h.set.Hosts))
+}
+
+// least is this host's part of what all hosts together keep out at a node however slow it is.
+func (h *Host) least() float64 { return min(1, leastTotal/float64(h.set.Hosts)) }
+
+// window is the node's window now: one that shut opens again while nothing is heard and nothing is out.
+func (h *Host) window(n *node, pass int) float64 {
+	w, open := n.window[pass], h.opening(pass)
+	if old := h.now - max(n.last, n.halved[pass]); w < open && old > newsOld && len(n.flight) == 0 {
+		return min(w*math.Exp2(float64(old-newsOld)/float64(newsOld)), open)
+	}
+	return w
+}
+
+// room tells whether the node's window takes one more request.
+func (h *Host) room(n *node, pass int) bool {
+	w := h.window(n, pass)
+	if w >= 1 {
+		return float64(len(n.flight))+1 <= w
+	}
+	usual := max(n.latency, h.unit*h.set.UnitMean)
+	if usual == 0 {
+		usual = sparePart * float64(h.shortAim) // nothing seen yet: as long as the second pass may wait
+	}
+	return len(n.flight) == 0 && h.now >= n.sentAt+Micros(usual/w)
+}
+
+// watch shuts the windows of a node by half when a request of this host has waited there for longer than
+// the windows' parts of the aim allow, again at each doubling: the answer itself may be seconds away.
+func (h *Host) watch() {
+	for _, n := range h.order {
+		for _, a := range n.flight {
+			waited := float64(h.now-a.sent) - h.unit*a.req.units
+			for waited > reservePart*float64(h.shortAim)*float64(int(1)<<a.marks) && h.unit > 0 {
+				a.marks++
+				for p := range n.window {
+					n.window[p] = max(n.window[p]/2, h.least())
+					n.halved[p] = h.now
+				}
+			}
+			if waited > h.wait(n) {
+				n.wait, n.waitAt = waited, h.now
+			}
+		}
+	}
+}
+
+// wait is what a request would wait at the node, by its last answer: a queue drains no faster than time.
+func (h *Host) wait(n *node) float64 {
+	return max(n.wait-float64(h.now-n.waitAt), 0)
+}
+
+// learnUnit follows the time a unit takes where nothing waits: a low quantile of what answers show, over
+// all nodes, as one node answers one host too seldom.
+func (h *Host) learnUnit(x float64) {
+	switch {
+	case h.unit == 0:
+		h.unit = x
+	case x < h.unit:
+		h.unit -= smooth * (h.unit - x)
+	default:
+		h.unit += min(smooth/8*(x-h.unit), h.unit*smooth/8)
+	}
 }
 
 // ---- guards of the rules ----
--- a/logic/state.go
+++ b/logic/state.go
@@ -23,6 +23,8 @@
 	nodes    map[NodeID]*node
 	order    []*node // by id
 	chains   map[uint64]*chain
+	shortAim Micros  // the shortest aim of any class
+	unit     float64 // time of a unit where nothing waits, in Micros; 0: not seen
 	seq      uint64
 	held     int // requests without an attempt out that are owed an answer
 	wakeAt   Micros
@@ -66,6 +68,7 @@
 	passed int  // answers of the node to attempts sent later
 	lost   bool // given up for lost: it holds no place in the window any more
 	done   bool
+	marks  int // doublings of its wait that have shut windows
 }
 
 // volume is one queue: a balance in units and a lane for each shard its requests wait for.
@@ -110,14 +113,17 @@
 
 type node struct {
 	Node
-	window  float64
-	halved  Micros
+	window  [2]float64 // for each pass
+	halved  [2]Micros
 	flight  []*attempt // out from this host and not lost
 	units   float64    // their units
 	silent  int        // tries in a row made past overdue attempts
 	latency float64    // smoothed time of answers, in Micros
 	last    Micros     // last send or answer
-	down    Micros     // pause after connections failed; 0: they do not
+	sentAt  Micros     // last send
+	wait    float64    // what the last answer waited at the node, in Micros
+	waitAt  Micros
+	down    Micros // pause after connections failed; 0: they do not
 	downAt  Micros
 	revived Micros  // when its process may have started, going by its connections
 	failing float64 // smoothed share of attempts that failed
