--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,13 +42,13 @@
 	newsOld = 1 * sec
 	// smooth is the weight of a new sample in a node's smoothed figures.
 	smooth = 0.2
-	// An attempt is overdue after overdueBy times the node's usual answer time for its size, overdueLeast
-	// at the least and its class's aim at the most; and lost once lostPassed later ones were answered.
-	overdueBy    = 4
-	overdueLeast = 100 * ms
-	lostPassed   = 2
-	// lateRest is how long a node must have had nothing of this host before a request that can no longer
-	// make its aim may go there.
+	// Attempts that time out between two quick answers of their node are lost ones, up to missingMost of
+	// them: more are a node that hung. vanishing is the smoothed share of lost ones among those that
+	// waited for long from which a host takes it that answers vanish.
+	missingMost = 2
+	vanishing   = 0.5
+	// lateRest times the hosts is how long a node must have had nothing of this host before a request that
+	// can no longer make its aim may go there, so that late ones of all hosts add up to few.
 	lateRest = 250 * ms
 	// sick is the smoothed share of failed attempts from which a node gets no new objects.
 	sick = 0.2
@@ -121,7 +121,6 @@
 		}
 	}
 	h.watch()
-	h.lose()
 	h.expire()
 	h.releaseChains()
 	h.runCycle()
@@ -292,18 +291,10 @@
 		h.finish(r)
 		return
 	}
-	if ran && r.class.Repeat != Retryable {
-		r.maybe = true
-		until := a.sent + r.class.RepeatWindow
-		if r.group == nil || until < r.until {
-			r.until = until
-		}
-		r.group = n
-		if r.class.Group == GroupCell {
-			r.cell = n.Cell
-		}
+	if ran {
+		h.mayHaveRun(r, a)
 	}
-	if r.out > 0 {
+	if r.out > 0 || r.queued {
 		return
 	}
 	r.after = h.now + h.pause(len(r.attempts))
@@ -315,6 +306,20 @@
 	h.enqueue(r)
 }
 
+// mayHaveRun binds a request that must not run twice to the group that drops its repeats.
+func (h *Host) mayHaveRun(r *request, a *attempt) {
+	if r.class.Repeat == Retryable {
+		return
+	}
+	if until := a.sent + r.class.RepeatWindow; !r.maybe || until < r.until {
+		r.until = until
+	}
+	r.maybe, r.group = true, a.node
+	if r.class.Group == GroupCell {
+		r.cell = a.node.Cell
+	}
+}
+
 func (h *Host) pause(tries int) Micros {
 	p := retryPause << min(tries-1, 4)
 	return p/2 + Micros(h.rng.Int64N(int64(p)))
@@ -605,10 +610,11 @@
 	if best.down > 0 && (len(best.flight) > 0 || h.now < best.downAt+best.down) {
 		return nil
 	}
-	if late && (len(best.flight) > 0 || h.now-best.last < lateRest || !r.charged && !h.sliceFull(r.vol)) {
+	if late && (len(best.flight) > 0 || h.now-best.last < lateRest*Micros(h.set.Hosts) ||
+		!r.charged && !h.sliceFull(r.vol)) {
 		return nil
 	}
-	if !h.room(best, pass) && !h.tryPast(best) || !h.coldAllows(best, r) ||
+	if !h.room(best, pass) || !h.coldAllows(best, r) ||
 		len(r.attempts) > 0 && !h.budgetAllows() {
 		return nil
 	}
@@ -627,9 +633,6 @@
 	if len(r.attempts) > 0 && h.set.Rules.BudgetWindow > 0 {
 		h.extra = append(h.extra, h.now)
 	}
-	if h.tryPast(n) {
-		n.silent++
-	}
 	a := &attempt{req: r, node: n, sent: h.now}
 	r.attempts = append(r.attempts, a)
 	r.out++
@@ -682,12 +685,6 @@
 	switch e.Outcome {
 	case OK:
 		v.own.add(h.now, r.units, meterTime)
-		n.silent = 0
-		for _, x := range n.flight {
-			if x.sent < a.sent {
-				x.passed++
-			}
-		}
 		n.served.add(h.now, r.units)
 		if n.latency == 0 {
 			n.latency = float64(took)
@@ -696,6 +693,12 @@
 		h.learnUnit(float64(took) / r.units)
 		wait := max(float64(took)-h.unit*r.units, 0)
 		n.wait, n.waitAt = wait, h.now
+		for ; wait < sparePart*float64(h.shortAim) && n.missing > 0; n.missing-- {
+			h.vanish += smooth * (1 - h.vanish)
+		}
+		if n.missing = 0; a.marks > 0 {
+			h.vanish -= smooth * h.vanish
+		}
 		for p, part := range passParts {
 			if past := part * float64(h.shortAim); wait > past {
 				h.shut(n, p, a, past/wait)
@@ -706,6 +709,9 @@
 			}
 		}
 	case Full, TimedOut, ConnectFailed:
+		if e.Outcome == TimedOut {
+			n.missing = min(n.missing+1, missingMost)
+		}
 		h.shut(n, 0, a, 0)
 		h.shut(n, 1, a, 0)
 		bad = 1
@@ -717,43 +723,6 @@
 	n.failing += smooth * (bad - n.failing)
 }
 
-// overdue tells whether an answer should have come long ago.
-func (h *Host) overdue(a *attempt) bool {
-	by := overdueBy * a.node.latency * max(1, a.req.units/max(h.set.UnitMean, 1))
-	return h.now-a.sent > min(max(Micros(by), overdueLeast), a.req.class.Aim)
-}
-
-// lose gives up for lost what is overdue while the node has answered others since. Guards against answers
-// that never come (a lossy link, requests dropped at the node): each would hold its place in a window of
-// two until its deadline. Harm: a request that is only heavy lets one more go to the node.
-func (h *Host) lose() {
-	for _, n := range h.order {
-		for i := 0; i < len(n.flight); {
-			if a := n.flight[i]; a.passed >= lostPassed && h.overdue(a) {
-				n.land(a)
-				a.lost = true
-				n.failing += smooth * (1 - n.failing)
-			} else {
-				i++
-			}
-		}
-	}
-}
-
-// tryPast lets one request at a time past a window that is held by overdue attempts alone, with doubling
-// pauses: its answer tells lost attempts from a node that hangs.
-func (h *Host) tryPast(n *node) bool {
-	if len(n.flight) == 0 || float64(len(n.flight)) < math.Floor(n.window[0]) {
-		return false
-	}
-	for _, a := range n.flight {
-		if !h.overdue(a) {
-			return false
-		}
-	}
-	return h.now-n.last > overdueLeast<<min(n.silent, 6)
-}
-
 // land takes an attempt out of the window.
 func (n *node) land(a *attempt) {
 	for i, x := range n.flight {
@@ -806,26 +775,56 @@
 	return len(n.flight) == 0 && h.now >= n.sentAt+Micros(usual/w)
 }
 
-// watch shuts the windows of a node by half when a request of this host has waited there for longer than
-// the windows' parts of the aim allow, again at each doubling: the answer itself may be seconds away.
+// watch looks at requests that have waited at a node for longer than the first pass allows: their answers
+// may be seconds away, or never come. Each says that the node is slow, and shuts its windows at each
+// doubling of its wait. Where answers are known to vanish it is lost instead: it gives up its place and is
+// sent again. Covers lossy links and dropped requests; harm: a request that is only heavy runs twice.
 func (h *Host) watch() {
+	if h.unit == 0 {
+		return
+	}
 	for _, n := range h.order {
-		for _, a := range n.flight {
+		for i := 0; i < len(n.flight); {
+			a, lost := n.flight[i], false
 			waited := float64(h.now-a.sent) - h.unit*a.req.units
-			for waited > reservePart*float64(h.shortAim)*float64(int(1)<<a.marks) && h.unit > 0 {
+			for !lost && waited > reservePart*float64(h.shortAim)*float64(int(1)<<a.marks) {
 				a.marks++
-				for p := range n.window {
-					n.window[p] = max(n.window[p]/2, h.least())
-					n.halved[p] = h.now
+				if lost = h.vanish > vanishing; !lost {
+					for p := range n.window {
+						n.window[p], n.halved[p] = max(n.window[p]/2, h.least()), h.now
+					}
+				}
+			}
+			if !lost {
+				if waited > h.wait(n) {
+					n.wait, n.waitAt = waited, h.now
 				}
+				i++
+				continue
 			}
-			if waited > h.wait(n) {
-				n.wait, n.waitAt = waited, h.now
+			n.land(a)
+			a.lost = true
+			n.failing += smooth * (1 - n.failing)
+			if h.vanish > vanishing {
+				h.copy(a)
 			}
 		}
 	}
 }
 
+// copy sends a request again whose answer is lost, where a second copy is allowed.
+func (h *Host) copy(a *attempt) {
+	r := a.req
+	if r.over || r.queued || !h.set.SecondCopies || r.class.Repeat == Fragile {
+		return
+	}
+	h.mayHaveRun(r, a)
+	if r.after = h.now; h.mayRepeat(r) {
+		h.enqueue(r)
+		h.hold(r, true)
+	}
+}
+
 // wait is what a request would wait at the node, by its last answer: a queue drains no faster than time.
 func (h *Host) wait(n *node) float64 {
 	return max(n.wait-float64(h.now-n.waitAt), 0)
--- a/logic/state.go
+++ b/logic/state.go
@@ -24,6 +24,7 @@
 	order    []*node // by id
 	chains   map[uint64]*chain
 	shortAim Micros  // the shortest aim of any class
+	vanish   float64 // smoothed share of lost attempts among those that waited for long
 	unit     float64 // time of a unit where nothing waits, in Micros; 0: not seen
 	seq      uint64
 	held     int // requests without an attempt out that are owed an answer
@@ -62,13 +63,12 @@
 }
 
 type attempt struct {
-	req    *request
-	node   *node
-	sent   Micros
-	passed int  // answers of the node to attempts sent later
-	lost   bool // given up for lost: it holds no place in the window any more
-	done   bool
-	marks  int // doublings of its wait that have shut windows
+	req   *request
+	node  *node
+	sent  Micros
+	lost  bool // given up for lost: it holds no place in the window any more
+	done  bool
+	marks int // doublings of its wait that have shut windows
 }
 
 // volume is one queue: a balance in units and a lane for each shard its requests wait for.
@@ -117,7 +117,7 @@
 	halved  [2]Micros
 	flight  []*attempt // out from this host and not lost
 	units   float64    // their units
-	silent  int        // tries in a row made past overdue attempts
+	missing int        // time-outs since its last answer
 	latency float64    // smoothed time of answers, in Micros
 	last    Micros     // last send or answer
 	sentAt  Micros     // last send
