Lost answers: passed ones count at once, tries past a window by the number of hosts, evidence from a quarter

A pass counts only for one that had waited for long when the later one was sent; evidence falls with each that is answered after all.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -42,11 +42,11 @@
 	newsOld = 1 * sec
 	// smooth is the weight of a new sample in a node's smoothed figures.
 	smooth = 0.2
-	// Attempts that time out between two quick answers of their node are lost ones, up to missingMost of
-	// them: more are a node that hung. vanishing is the smoothed share of lost ones among those that
+	// Attempts that time out between two quick answers of their node are lost ones; more than missingMost
+	// in a row are a node that hung. vanishing is the smoothed share of lost ones among those that
 	// waited for long from which a host takes it that answers vanish.
 	missingMost = 2
-	vanishing   = 0.5
+	vanishing   = 0.25
 	// lateRest times the hosts is how long a node must have had nothing of this host before a request that
 	// can no longer make its aim may go there, so that late ones of all hosts add up to few.
 	lateRest = 250 * ms
@@ -213,17 +213,6 @@
 	return v
 }
 
-func (h *Host) hold(r *request, on bool) {
-	if r.waiting != on {
-		r.waiting = on
-		if on {
-			h.held++
-		} else {
-			h.held--
-		}
-	}
-}
-
 func (h *Host) enqueue(r *request) {
 	v := r.vol
 	var l *lane
@@ -248,22 +237,6 @@
 	r.queued = true
 }
 
-func (h *Host) dequeue(r *request) {
-	if !r.queued {
-		return
-	}
-	r.queued = false
-	r.vol.waiting--
-	for _, l := range r.vol.lanes {
-		for i, x := range l.q {
-			if x == r {
-				l.q = append(l.q[:i], l.q[i+1:]...)
-				return
-			}
-		}
-	}
-}
-
 func (h *Host) ended(e AttemptEnded) {
 	r := h.requests[e.Request]
 	if r == nil || e.Attempt < 0 || e.Attempt >= len(r.attempts) || r.attempts[e.Attempt].done {
@@ -614,7 +587,7 @@
 		!r.charged && !h.sliceFull(r.vol)) {
 		return nil
 	}
-	if !h.room(best, pass) || !h.coldAllows(best, r) ||
+	if !h.room(best, pass) && !h.tryPast(best) || !h.coldAllows(best, r) ||
 		len(r.attempts) > 0 && !h.budgetAllows() {
 		return nil
 	}
@@ -633,6 +606,9 @@
 	if len(r.attempts) > 0 && h.set.Rules.BudgetWindow > 0 {
 		h.extra = append(h.extra, h.now)
 	}
+	if h.tryPast(n) {
+		n.silent++
+	}
 	a := &attempt{req: r, node: n, sent: h.now}
 	r.attempts = append(r.attempts, a)
 	r.out++
@@ -693,10 +669,16 @@
 		h.learnUnit(float64(took) / r.units)
 		wait := max(float64(took)-h.unit*r.units, 0)
 		n.wait, n.waitAt = wait, h.now
-		for ; wait < sparePart*float64(h.shortAim) && n.missing > 0; n.missing-- {
-			h.vanish += smooth * (1 - h.vanish)
+		for _, x := range n.flight {
+			if x.marks > 0 && x.sent < a.sent && !x.passed {
+				x.passed = true
+				n.missing++
+			}
+		}
+		if wait < sparePart*float64(h.shortAim) && n.missing <= missingMost {
+			h.vanish = 1 - (1-h.vanish)*math.Pow(1-smooth, float64(n.missing))
 		}
-		if n.missing = 0; a.marks > 0 {
+		if n.missing, n.silent = 0, 0; a.marks > 0 {
 			h.vanish -= smooth * h.vanish
 		}
 		for p, part := range passParts {
@@ -709,8 +691,8 @@
 			}
 		}
 	case Full, TimedOut, ConnectFailed:
-		if e.Outcome == TimedOut {
-			n.missing = min(n.missing+1, missingMost)
+		if e.Outcome == TimedOut && !a.passed {
+			n.missing++
 		}
 		h.shut(n, 0, a, 0)
 		h.shut(n, 1, a, 0)
@@ -723,16 +705,6 @@
 	n.failing += smooth * (bad - n.failing)
 }
 
-// land takes an attempt out of the window.
-func (n *node) land(a *attempt) {
-	for i, x := range n.flight {
-		if x == a {
-			n.flight = append(n.flight[:i], n.flight[i+1:]...)
-			n.units -= a.req.units
-		}
-	}
-}
-
 // shut shuts a window to the given part, at most by half and at most once a round trip.
 func (h *Host) shut(n *node, pass int, a *attempt, part float64) {
 	if a.sent < n.halved[pass] || a.lost {
@@ -787,9 +759,9 @@
 		for i := 0; i < len(n.flight); {
 			a, lost := n.flight[i], false
 			waited := float64(h.now-a.sent) - h.unit*a.req.units
-			for !lost && waited > reservePart*float64(h.shortAim)*float64(int(1)<<a.marks) {
+			for !lost && (a.passed || waited > reservePart*float64(h.shortAim)*float64(int(1)<<a.marks)) {
 				a.marks++
-				if lost = h.vanish > vanishing; !lost {
+				if lost = a.passed || h.vanish > vanishing; !lost {
 					for p := range n.window {
 						n.window[p], n.halved[p] = max(n.window[p]/2, h.least()), h.now
 					}
@@ -825,6 +797,18 @@
 	}
 }
 
+// tryPast lets one request past a window that is held by attempts that wait for long, so seldom that those
+// of all hosts add up to few, with doubling pauses: its answer tells lost attempts from a node that hangs.
+func (h *Host) tryPast(n *node) bool {
+	for _, a := range n.flight {
+		if a.marks == 0 {
+			return false
+		}
+	}
+	pause := Micros(float64(h.shortAim) * max(1, float64(h.set.Hosts)/leastTotal))
+	return len(n.flight) > 0 && h.now-n.last > pause<<min(n.silent, 6)
+}
+
 // wait is what a request would wait at the node, by its last answer: a queue drains no faster than time.
 func (h *Host) wait(n *node) float64 {
 	return max(n.wait-float64(h.now-n.waitAt), 0)
--- a/logic/state.go
+++ b/logic/state.go
@@ -63,12 +63,13 @@
 }
 
 type attempt struct {
-	req   *request
-	node  *node
-	sent  Micros
-	lost  bool // given up for lost: it holds no place in the window any more
-	done  bool
-	marks int // doublings of its wait that have shut windows
+	req    *request
+	node   *node
+	sent   Micros
+	lost   bool // given up for lost: it holds no place in the window any more
+	passed bool // one sent later was answered after it had waited for long
+	done   bool
+	marks  int // doublings of its wait that have shut windows
 }
 
 // volume is one queue: a balance in units and a lane for each shard its requests wait for.
@@ -117,6 +118,7 @@
 	halved  [2]Micros
 	flight  []*attempt // out from this host and not lost
 	units   float64    // their units
+	silent  int        // tries in a row past its window
 	missing int        // time-outs since its last answer
 	latency float64    // smoothed time of answers, in Micros
 	last    Micros     // last send or answer
@@ -163,4 +165,43 @@
 	rest Micros // the key rests until then
 }
 
+// hold counts the requests that wait for an attempt.
+func (h *Host) hold(r *request, on bool) {
+	if r.waiting != on {
+		r.waiting = on
+		if on {
+			h.held++
+		} else {
+			h.held--
+		}
+	}
+}
+
+// dequeue takes a request out of its lane.
+func (h *Host) dequeue(r *request) {
+	if !r.queued {
+		return
+	}
+	r.queued = false
+	r.vol.waiting--
+	for _, l := range r.vol.lanes {
+		for i, x := range l.q {
+			if x == r {
+				l.q = append(l.q[:i], l.q[i+1:]...)
+				return
+			}
+		}
+	}
+}
+
+// land takes an attempt out of the window.
+func (n *node) land(a *attempt) {
+	for i, x := range n.flight {
+		if x == a {
+			n.flight = append(n.flight[:i], n.flight[i+1:]...)
+			n.units -= a.req.units
+		}
+	}
+}
+
 func seconds(d Micros) float64 { return float64(d) / 1e6 }
