--- a/logic/logic.go
+++ b/logic/logic.go
@@ -690,8 +690,9 @@
 				n.window[p] = min(w+1/w, windowMost)
 			}
 		}
-	case Full, TimedOut, ConnectFailed:
-		if e.Outcome == TimedOut && !a.passed {
+	case TimedOut, Full, ConnectFailed:
+		// A client that gives up before the node is late is impatient: that is no answer that vanished.
+		if e.Outcome == TimedOut && !a.passed && took > Micros(reservePart*float64(h.shortAim)) {
 			n.missing++
 		}
 		h.shut(n, 0, a, 0)
