Second pass: opens at forty over all hosts instead of eight, shuts at a fifth of the shortest aim instead of a third

Cause: at size the first sends of a surge paid pauses of seconds before its window had opened, while nodes had room; an earlier shut holds the total.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,14 +29,14 @@
 	windowMost = 2.0
 	leastTotal = 3.0
 	// spareTotal is what all hosts together have out at one node from the second pass at the start: a few.
-	spareTotal = 8.0
+	spareTotal = 40.0
 	// windowGrow is the growth of a window under one with each good answer, as a part of it.
 	windowGrow = 1.0
 	// reservePart and sparePart: a request that waited at the node for more than this part of the
 	// shortest aim shuts the window of the first pass, of the second. The queue at a node is one for all
 	// classes, so the shortest aim counts.
 	reservePart = 0.5
-	sparePart   = 0.35
+	sparePart   = 0.2
 	// newsOld is how long an answer tells of its node's wait; after it a shut window with nothing out
 	// doubles in each such time again, up to where it started.
 	newsOld = 1 * sec
