--- a/logic/logic.go
+++ b/logic/logic.go
@@ -815,17 +815,13 @@
 	return max(n.wait-float64(h.now-n.waitAt), 0)
 }
 
-// learnUnit follows the time a unit takes where nothing waits: a low quantile of what answers show, over
-// all nodes, as one node answers one host too seldom.
+// learnUnit follows the median time a unit takes, over all nodes, as one node answers one host too seldom;
+// what an answer took beyond it is a wait. A lower quantile takes the work's own noise for waits.
 func (h *Host) learnUnit(x float64) {
-	switch {
-	case h.unit == 0:
+	if h.unit == 0 {
 		h.unit = x
-	case x < h.unit:
-		h.unit -= smooth * (h.unit - x)
-	default:
-		h.unit += min(smooth/8*(x-h.unit), h.unit*smooth/8)
 	}
+	h.unit += smooth * max(-h.unit/2, min(x-h.unit, h.unit))
 }
 
 // ---- guards of the rules ----
