Cold nodes: hosts take turns by number and node where the even slice is under one request

Cause: at 200 hosts the even slice of what a cold node bears is a twentieth of a unit, so nothing went to a node for up to ColdTime after its start. Slots of half the overload time go round the hosts by number; a third of the units goes in one. Settings.Number is new (slotNo on the wire).

--- a/cmd/wirehost/translate.go
+++ b/cmd/wirehost/translate.go
@@ -92,7 +92,7 @@
 func settings(s *wire.Settings) logic.Settings {
 	us := func(v float64) logic.Micros { return logic.Micros(v) }
 	t := logic.Settings{
-		Hosts: s.Balancers, Zone: s.AZ, Tick: us(s.GranularityUs), Subscribe: s.MembershipMode == "subscribe",
+		Hosts: s.Balancers, Number: s.SlotNo, Zone: s.AZ, Tick: us(s.GranularityUs), Subscribe: s.MembershipMode == "subscribe",
 		MaxAttempts: s.Limits.SendCap, SecondCopies: s.Limits.SecondCopies,
 		MayCancel: s.Limits.MayCancel, MayProbe: s.Limits.Probes,
 		UnitMean: s.FamilyInfo.UnitMean, UnitTop: s.FamilyInfo.UnitsTop,
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -50,6 +50,7 @@
 	} `json:"limits"`
 	GranularityUs  float64 `json:"granularityUs"`
 	MembershipMode string  `json:"membershipMode"`
+	SlotNo         int     `json:"slotNo"`
 	Report         struct {
 		Fields []string `json:"fields"`
 	} `json:"report"`
--- a/logic/api.go
+++ b/logic/api.go
@@ -80,6 +80,7 @@
 // Settings is what a host is told when it starts.
 type Settings struct {
 	Hosts          int // hosts that share the pool, this one included
+	Number         int // this host's number among them, from 0
 	Zone           int // zone of this host
 	Classes        []Class
 	Plans          []Plan
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -484,9 +484,9 @@
 	}
 	h.age()
 	for _, late := range []bool{false, true} {
-		h.turn++
+		h.turns++
 		for i := range h.ring {
-			v := h.ring[(h.turn+i)%len(h.ring)]
+			v := h.ring[(h.turns+i)%len(h.ring)]
 			if v.waiting == 0 {
 				continue
 			}
@@ -855,16 +855,35 @@
 	if started <= 0 || rules.ColdTime <= 0 || h.now >= started+rules.ColdTime {
 		return true
 	}
-	// Exception: with many hosts the part is under one request, so it grows as the node's capacity must,
-	// evenly from ColdFrom to the whole over ColdTime, seen from the start of the window.
+	// Exception: the part grows as the node's capacity must, evenly from ColdFrom to the whole over
+	// ColdTime, seen from the start of the window.
 	grown := 1.0
 	if age := began - started; age > 0 && rules.ColdFrom > 0 && rules.ColdFrom < 1 {
 		grown += (1/rules.ColdFrom - 1) * float64(age) / float64(rules.ColdTime)
 	}
+	part := grown * rules.ColdUnits / float64(h.set.Hosts)
+	if part < max(h.set.UnitMean, 1) {
+		part = h.turn(n, grown*rules.ColdUnits, rules.OverloadTime/2)
+	}
 	// Exception: what the node has just served for each host it can do for all of them at once, so half
 	// of the multiple that pushes it over may go by that.
-	part := max(grown*rules.ColdUnits/float64(h.set.Hosts), rules.TipMultiple/2*served)
-	return sent+r.units <= part
+	return sent+r.units <= max(part, rules.TipMultiple/2*served)
+}
+
+// turn is what this host may send a cold node in the slot at hand, where the even slice is less than one
+// request and nothing could ever go. Exception: slots of half the overload time go round the hosts by
+// number and node, nobody talks. A third of the units goes in a slot, as a window meets three at the
+// most, or two with clocks a slot apart. A host that began within the slot may have used its turn before.
+func (h *Host) turn(n *node, units float64, slot Micros) float64 {
+	if slot <= 0 || h.now/slot <= h.began/slot {
+		return 0
+	}
+	takers := max(1, int(units/3/(2*max(h.set.UnitMean, 1))))
+	first := (int(n.ID%65536) + int(h.now/slot)*takers) % h.set.Hosts
+	if place := (h.set.Number - first + h.set.Hosts) % h.set.Hosts; place >= takers {
+		return 0
+	}
+	return units / 3 / float64(takers)
 }
 
 // budgetAllows keeps further attempts within the budget over every window.
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -510,3 +510,57 @@
 		}
 	}
 }
+
+// TestColdTurns: at 200 hosts the even slice of what a cold node bears is a twentieth of a unit. By turns,
+// something goes, and what all hosts send stays under the whole in every overload window, with hosts that
+// restart in the middle of a slot and clocks half a slot apart.
+func TestColdTurns(t *testing.T) {
+	const hosts, restarts = 200, 3
+	type sent struct {
+		at    Micros
+		units float64
+	}
+	var all []sent
+	s := coldSettings()
+	s.Hosts, s.UnitMean, s.Rules.ColdUnits, s.Rules.ColdTime = hosts, 2, 9, 16*sec
+	for number := range hosts {
+		s.Number = number
+		skew := Micros(number%2) * s.Rules.OverloadTime / 4
+		start := 100 * sec
+		var b *bench
+		for now := start; now < start+12*sec; now += 50 * ms {
+			if b == nil || number < restarts && (now-start)%(3*sec) == 250*ms {
+				b = newBench(t, s, 1)
+				b.now = now + skew
+				b.h.began = b.now
+				b.step(NodeList{Kind: ListFull, Nodes: []Node{{ID: 1, State: Ready, Started: start}}})
+			}
+			b.now = now + skew
+			n := b.h.order[0]
+			n.window, n.wait = [2]float64{2, 2}, 0
+			a := b.ask(0, 4, units(2))
+			for range sends(b.step(a)) {
+				all = append(all, sent{now, 2})
+				b.step(end(a.Request, 0, 1, Cancelled))
+			}
+			b.step(ClientGone{a.Request})
+		}
+	}
+	total := 0.0
+	for _, x := range all {
+		total += x.units
+		in, grown := 0.0, 1+(1/s.Rules.ColdFrom-1)*float64(x.at-100*sec)/float64(s.Rules.ColdTime)
+		for _, y := range all {
+			if y.at >= x.at && y.at <= x.at+s.Rules.OverloadTime {
+				in += y.units
+			}
+		}
+		if in > grown*s.Rules.ColdUnits {
+			t.Errorf("%v units within the window from %v, the node bears %v", in, x.at, grown*s.Rules.ColdUnits)
+			break
+		}
+	}
+	if total < 48 {
+		t.Errorf("%v units in 24 slots: the node starves", total)
+	}
+}
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -10,6 +10,9 @@
 	if s.Hosts < 1 {
 		return fmt.Errorf("settings: Hosts is %d", s.Hosts)
 	}
+	if s.Number < 0 || s.Number >= s.Hosts {
+		return fmt.Errorf("settings: Number is %d of %d Hosts", s.Number, s.Hosts)
+	}
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("settings: Classes is empty")
 	}
--- a/logic/state.go
+++ b/logic/state.go
@@ -18,7 +18,7 @@
 	requests map[RequestID]*request
 	volumes  map[VolumeID]*volume
 	ring     []*volume // in order of creation, visited from turn on
-	turn     int
+	turns    int
 	spare    float64 // virtual time of the second pass
 	nodes    map[NodeID]*node
 	order    []*node // by id
