--- a/logic/logic.go
+++ b/logic/logic.go
@@ -872,18 +872,18 @@
 
 // turn is what this host may send a cold node in the slot at hand, where the even slice is less than one
 // request and nothing could ever go. Exception: slots of half the overload time go round the hosts by
-// number and node, nobody talks. A third of the units goes in a slot, as a window meets three at the
-// most, or two with clocks a slot apart. A host that began within the slot may have used its turn before.
+// number and node, nobody talks. A quarter of the units goes in a slot: a window meets three, or four with
+// clocks half a slot apart. A host that began within the slot may have used its turn before.
 func (h *Host) turn(n *node, units float64, slot Micros) float64 {
 	if slot <= 0 || h.now/slot <= h.began/slot {
 		return 0
 	}
-	takers := max(1, int(units/3/(2*max(h.set.UnitMean, 1))))
+	takers := max(1, int(units/4/(2*max(h.set.UnitMean, 1))))
 	first := (int(n.ID%65536) + int(h.now/slot)*takers) % h.set.Hosts
 	if place := (h.set.Number - first + h.set.Hosts) % h.set.Hosts; place >= takers {
 		return 0
 	}
-	return units / 3 / float64(takers)
+	return units / 4 / float64(takers)
 }
 
 // budgetAllows keeps further attempts within the budget over every window.
