--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,7 @@
 // in this order: constants, state, events, cycle, node window, guards of the rules.
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"sort"
@@ -20,6 +21,8 @@
 	cycle = 10 * ms
 	// burst caps a queue's balance, in seconds of its credit, with one largest request as the least.
 	burst = 0.2
+	// stall is how late a timer must come for the host to have stood still: many cycles.
+	stall = 10 * cycle
 	// answerBy is how long before its dropDead a held request gets its final answer: a cycle and change.
 	answerBy = cycle + 5*ms
 
@@ -46,7 +49,7 @@
 	// in a row are a node that hung. vanishing is the smoothed share of lost ones among those that
 	// waited for long from which a host takes it that answers vanish.
 	missingMost = 2
-	vanishing   = 0.25
+	vanishing   = 0.4
 	// lateRest times the hosts is how long a node must have had nothing of this host before a request that
 	// can no longer make its aim may go there, so that late ones of all hosts add up to few.
 	lateRest = 250 * ms
@@ -97,7 +100,10 @@
 			h.askAt, h.askWait = now, askAgain
 		}
 	}
-	h.now, h.out = max(now, h.now), actions
+	h.before, h.now, h.out = h.now, max(now, h.now), actions
+	if h.wakeAt > 0 && h.now-h.wakeAt > stall {
+		h.stalled()
+	}
 	for _, e := range events {
 		switch e := e.(type) {
 		case Arrival:
@@ -130,6 +136,17 @@
 	return actions
 }
 
+// stalled is what follows when this host's own timer comes much too late: the host stood still, so the
+// times of what was out tell nothing of the nodes. Also covers a suspended machine; harm: one round trip
+// less is learned from.
+func (h *Host) stalled() {
+	for _, n := range h.order {
+		for _, a := range n.flight {
+			a.blind = true
+		}
+	}
+}
+
 func (h *Host) emit(a Action) { h.out = append(h.out, a) }
 
 // wake keeps one timer running while anything waits.
@@ -137,6 +154,8 @@
 	want := Micros(math.MaxInt64)
 	if h.held > 0 {
 		want = h.now + cycle
+	} else if len(h.requests) > 0 {
+		want = h.now + stall/2
 	}
 	if h.askAt > 0 {
 		want = min(want, h.askAt)
@@ -171,7 +190,12 @@
 	if !(r.units > 0) || math.IsInf(r.units, 0) {
 		r.units = 1
 	}
-	r.aimAt = min(h.now+r.class.Aim, r.dropDead)
+	// What a host finds after it stood still came in between: its aim counts from then.
+	came := r.dropDead - r.class.Deadline
+	if came < h.before || came > h.now {
+		came = h.now
+	}
+	r.aimAt = min(came+r.class.Aim, r.dropDead)
 	h.requests[r.id] = r
 	v.live++
 	v.last = h.now
@@ -249,14 +273,11 @@
 	n.land(a)
 	n.last = h.now
 	h.learn(r, a, e)
-	ran := false
+	ran := e.Outcome == Failed
 	switch e.Outcome {
-	case Failed, TimedOut, Reset, Cancelled:
+	case TimedOut, Reset, Cancelled:
 		ran = true
-	}
-	if r.chain != nil {
-		switch e.Outcome {
-		case TimedOut, Reset, Cancelled:
+		if r.chain != nil {
 			r.chain.rest = max(r.chain.rest, h.now+h.set.Rules.OrderPause)
 		}
 	}
@@ -300,16 +321,9 @@
 
 // mayRepeat tells whether a further attempt can still be made at r.after.
 func (h *Host) mayRepeat(r *request) bool {
-	if r.stream || r.after+answerBy >= r.dropDead {
-		return false
-	}
-	if h.set.MaxAttempts > 0 && len(r.attempts) >= h.set.MaxAttempts {
-		return false
-	}
-	if r.maybe && (r.class.Repeat == Fragile || r.after >= r.until) {
-		return false
-	}
-	return true
+	once := r.maybe && (r.class.Repeat == Fragile || r.after >= r.until)
+	more := h.set.MaxAttempts == 0 || len(r.attempts) < h.set.MaxAttempts
+	return more && !once && !r.stream && r.after+answerBy < r.dropDead
 }
 
 // giveUp answers a request that will not be served: refused where a retry is surely harmless.
@@ -340,9 +354,6 @@
 				break
 			}
 		}
-		if len(c.q) > 0 && h.now >= c.rest && !c.q[0].queued && c.q[0].waiting {
-			h.enqueue(c.q[0])
-		}
 	}
 }
 
@@ -411,9 +422,6 @@
 
 // expire gives held requests their answer before their own dropDead.
 func (h *Host) expire() {
-	if h.held == 0 {
-		return
-	}
 	var due []*request
 	for _, v := range h.ring {
 		for _, l := range v.lanes {
@@ -466,16 +474,7 @@
 }
 
 // weight is the queue's part in the second pass.
-func (v *volume) weight() float64 {
-	w := v.plan.Reserve
-	if w <= 0 {
-		w = v.plan.Weight
-	}
-	if w <= 0 {
-		w = 1
-	}
-	return w / v.attached
-}
+func (v *volume) weight() float64 { return cmp.Or(v.plan.Reserve, v.plan.Weight, 1) / v.attached }
 
 // runCycle is Gage's: a first pass by reservation, a second over the room that is left.
 func (h *Host) runCycle() {
@@ -600,7 +599,7 @@
 	if !r.charged {
 		r.charged = true
 		if r.vol.plan.Limit > 0 {
-			r.vol.store -= r.units
+			r.vol.store, r.vol.stored = h.fill(r.vol)-r.units, h.now
 		}
 	}
 	if len(r.attempts) > 0 && h.set.Rules.BudgetWindow > 0 {
@@ -658,10 +657,15 @@
 	} else if a.sent >= n.downAt {
 		n.down, n.downAt = min(max(2*n.down, downPause), downMost), h.now
 	}
-	switch e.Outcome {
-	case OK:
+	if e.Outcome == OK {
 		v.own.add(h.now, r.units, meterTime)
 		n.served.add(h.now, r.units)
+	}
+	if a.blind {
+		return
+	}
+	switch e.Outcome {
+	case OK:
 		if n.latency == 0 {
 			n.latency = float64(took)
 		}
@@ -753,33 +757,34 @@
 // doubling of its wait. Where answers are known to vanish it is lost instead: it gives up its place and is
 // sent again. Covers lossy links and dropped requests; harm: a request that is only heavy runs twice.
 func (h *Host) watch() {
-	if h.unit == 0 {
-		return
-	}
 	for _, n := range h.order {
-		for i := 0; i < len(n.flight); {
-			a, lost := n.flight[i], false
+		for i := 0; i < len(n.flight); i++ {
+			a := n.flight[i]
 			waited := float64(h.now-a.sent) - h.unit*a.req.units
-			for !lost && (a.passed || waited > reservePart*float64(h.shortAim)*float64(int(1)<<a.marks)) {
+			if a.blind || h.unit == 0 {
+				continue
+			}
+			long := waited > reservePart*float64(h.shortAim)*math.Exp2(float64(a.marks))
+			if long {
 				a.marks++
-				if lost = a.passed || h.vanish > vanishing; !lost {
-					for p := range n.window {
-						n.window[p], n.halved[p] = max(n.window[p]/2, h.least()), h.now
-					}
-				}
 			}
-			if !lost {
-				if waited > h.wait(n) {
-					n.wait, n.waitAt = waited, h.now
+			if a.passed || long && h.vanish > vanishing {
+				n.land(a)
+				i--
+				a.lost = true
+				n.failing += smooth * (1 - n.failing)
+				if h.vanish > vanishing {
+					h.copy(a)
 				}
-				i++
 				continue
 			}
-			n.land(a)
-			a.lost = true
-			n.failing += smooth * (1 - n.failing)
-			if h.vanish > vanishing {
-				h.copy(a)
+			for p := range n.window {
+				if long {
+					n.window[p], n.halved[p] = max(n.window[p]/2, h.least()), h.now
+				}
+			}
+			if waited > h.wait(n) && h.vanish <= vanishing {
+				n.wait, n.waitAt = waited, h.now
 			}
 		}
 	}
@@ -828,21 +833,17 @@
 
 // limitAllows holds the host's even slice of the plan's limit: rate, burst and slack alike.
 func (h *Host) limitAllows(r *request) bool {
-	v := r.vol
-	if v.plan.Limit <= 0 {
-		return true
-	}
-	v.store = min(v.store+v.plan.Limit/v.attached*seconds(h.now-v.stored), v.plan.LimitBurst/v.attached)
-	v.stored = h.now
-	return v.store-r.units >= -v.plan.LimitSlack/v.attached
+	return r.vol.plan.Limit <= 0 || h.fill(r.vol)-r.units >= -r.vol.plan.LimitSlack/r.vol.attached
 }
 
-// sliceFull tells whether the limit's store holds all it can; units drawn now would else be lost.
-func (h *Host) sliceFull(v *volume) bool {
-	fill := v.store + v.plan.Limit/v.attached*seconds(h.now-v.stored)
-	return fill >= v.plan.LimitBurst/v.attached
+// fill is what the slice's store holds now.
+func (h *Host) fill(v *volume) float64 {
+	return min(v.store+v.plan.Limit/v.attached*seconds(h.now-v.stored), v.plan.LimitBurst/v.attached)
 }
 
+// sliceFull tells whether the limit's store holds all it can; units drawn now would else be lost.
+func (h *Host) sliceFull(v *volume) bool { return h.fill(v) >= v.plan.LimitBurst/v.attached }
+
 // coldAllows keeps this host's part of what a cold node always bears, over every overload window.
 func (h *Host) coldAllows(n *node, r *request) bool {
 	rules := &h.set.Rules
--- a/logic/state.go
+++ b/logic/state.go
@@ -12,6 +12,7 @@
 	set      Settings
 	rng      *rand.Rand
 	now      Micros
+	before   Micros // the Step before this one
 	began    Micros // first Step; 0 before it
 	started  bool
 	out      []Action
@@ -67,6 +68,7 @@
 	node   *node
 	sent   Micros
 	lost   bool // given up for lost: it holds no place in the window any more
+	blind  bool // the host stood still while it was out
 	passed bool // one sent later was answered after it had waited for long
 	done   bool
 	marks  int // doublings of its wait that have shut windows
