--- a/logic/logic.go
+++ b/logic/logic.go
@@ -88,7 +88,7 @@
 	return &Host{
 		set: s, shortAim: short, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		requests: map[RequestID]*request{}, volumes: map[VolumeID]*volume{},
-		nodes: map[NodeID]*node{}, chains: map[uint64]*chain{},
+		nodes: map[NodeID]*node{}, chains: map[uint64]*chain{}, cells: map[int][]*node{},
 	}, nil
 }
 
@@ -408,6 +408,10 @@
 		n.Node = x
 	}
 	sort.Slice(h.order, func(i, j int) bool { return h.order[i].ID < h.order[j].ID })
+	clear(h.cells)
+	for _, n := range h.order {
+		h.cells[n.Cell] = append(h.cells[n.Cell], n)
+	}
 	if h.set.Subscribe && e.Kind != ListCached {
 		h.askAt, h.askWait = 0, askAgain
 	}
@@ -548,51 +552,49 @@
 	return r.seq < o.seq
 }
 
-// place finds the node for r: the one that holds its shard, or for a new object the one with the
-// least estimated outstanding load; nil where none may take it now.
+// place finds the node for r: the one that holds its shard, or for a new object, of those that take it now,
+// the one with the least estimated outstanding load; nil where none does.
 func (h *Host) place(r *request, pass int, late bool) *node {
+	if len(r.attempts) > 0 && !h.budgetAllows() || late && !r.charged && !h.sliceFull(r.vol) {
+		return nil
+	}
+	nodes, healthy := h.order, false
+	if r.cell >= 0 {
+		nodes = h.cells[r.cell]
+	}
 	var best, ill *node
 	var least, illLeast float64
-	for _, n := range h.order {
-		if r.cell >= 0 && n.Cell != r.cell || n.State != Ready {
+	for _, n := range nodes {
+		if n.State != Ready || r.maybe && r.class.Group == GroupZone && n.Zone != r.group.Zone {
 			continue
 		}
-		if r.maybe && r.class.Group == GroupZone && n.Zone != r.group.Zone {
-			continue
-		}
-		load := (n.units + r.units) * max(n.latency, 1)
-		if n.failing > sick {
-			if ill == nil || load < illLeast {
+		well := n.failing <= sick
+		healthy = healthy || well
+		if load := (n.units + r.units) * max(n.latency, 1); !well {
+			if (ill == nil || load < illLeast) && !healthy && h.takes(n, r, pass, late) {
 				ill, illLeast = n, load
 			}
-		} else if best == nil || load < least {
+		} else if (best == nil || load < least) && h.takes(n, r, pass, late) {
 			best, least = n, load
 		}
 	}
-	if best == nil {
-		best = ill
-	}
-	if best == nil {
-		return nil
-	}
-	isLate := h.now+Micros(h.wait(best)+h.unit*r.units) > r.aimAt
-	if isLate != late {
-		return nil
-	}
-	if best.down > 0 && (len(best.flight) > 0 || h.now < best.downAt+best.down) {
-		return nil
-	}
-	if late && (len(best.flight) > 0 || h.now-best.last < lateRest*Micros(h.set.Hosts) ||
-		!r.charged && !h.sliceFull(r.vol)) {
-		return nil
-	}
-	if !h.room(best, pass) && !h.tryPast(best) || !h.coldAllows(best, r) ||
-		len(r.attempts) > 0 && !h.budgetAllows() {
-		return nil
+	if !healthy {
+		return ill
 	}
 	return best
 }
 
+// takes tells whether a request may go to a node now: whether it is late there as asked, whether the node
+// takes connections, whether its window has room, and the guard of cold nodes.
+func (h *Host) takes(n *node, r *request, pass int, late bool) bool {
+	if late != (h.now+Micros(h.wait(n)+h.unit*r.units) > r.aimAt) ||
+		(n.down > 0 || late) && len(n.flight) > 0 || n.down > 0 && h.now < n.downAt+n.down ||
+		late && h.now-n.last < lateRest*Micros(h.set.Hosts) {
+		return false
+	}
+	return (h.room(n, pass) || h.tryPast(n)) && h.coldAllows(n, r)
+}
+
 func (h *Host) send(r *request, n *node) {
 	h.dequeue(r)
 	h.hold(r, false)
--- a/logic/state.go
+++ b/logic/state.go
@@ -22,7 +22,8 @@
 	turns    int
 	spare    float64 // virtual time of the second pass
 	nodes    map[NodeID]*node
-	order    []*node // by id
+	order    []*node         // by id
+	cells    map[int][]*node // by id for each shard
 	chains   map[uint64]*chain
 	shortAim Micros  // the shortest aim of any class
 	vanish   float64 // smoothed share of lost attempts among those that waited for long
