--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,6 +45,8 @@
 	newsOld = 1 * sec
 	// smooth is the weight of a new sample in a node's smoothed figures.
 	smooth = 0.2
+	// slowRise bounds what a time over twice the usual for its units counts, as it is a wait for the most part.
+	slowRise = 0.125
 	// Attempts that time out between two quick answers of their node are lost ones; more than missingMost
 	// in a row are a node that hung. vanishing is the smoothed share of lost ones among those that
 	// waited for long from which a host takes it that answers vanish.
@@ -668,9 +670,7 @@
 	}
 	switch e.Outcome {
 	case OK:
-		if n.latency == 0 {
-			n.latency = float64(took)
-		}
+		n.latency = cmp.Or(n.latency, float64(took))
 		n.latency += smooth * (float64(took) - n.latency)
 		h.learnUnit(float64(took) / r.units)
 		wait := max(float64(took)-h.unit*r.units, 0)
@@ -822,13 +822,15 @@
 	return max(n.wait-float64(h.now-n.waitAt), 0)
 }
 
-// learnUnit follows the median time a unit takes, over all nodes, as one node answers one host too seldom;
-// what an answer took beyond it is a wait. A lower quantile takes the work's own noise for waits.
+// learnUnit follows the mean time a unit takes, over all nodes, as one node answers one host too seldom;
+// what an answer took beyond it is a wait. Times over twice the mean are waits for the most part and raise
+// it slowly, or after a jam all requests would seem too late to be sent, and nothing would teach better.
 func (h *Host) learnUnit(x float64) {
-	if h.unit == 0 {
-		h.unit = x
+	h.unit = cmp.Or(h.unit, x)
+	if x > 2*h.unit {
+		x = h.unit * (1 + slowRise)
 	}
-	h.unit += smooth * max(-h.unit/2, min(x-h.unit, h.unit))
+	h.unit += smooth * (x - h.unit)
 }
 
 // ---- guards of the rules ----
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -324,6 +324,40 @@
 	}
 }
 
+// TestUnitTimeSurvivesAJam: seconds of waits must not teach that work takes long, or after the jam every
+// request would seem too late to be sent.
+func TestUnitTimeSurvivesAJam(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	for range 30 {
+		b.h.learnUnit(30 * float64(ms))
+	}
+	for range 10 {
+		b.h.learnUnit(600 * float64(ms))
+	}
+	if b.h.unit > 40*float64(ms) {
+		t.Errorf("unit time %v us after ten waits of 600 ms, was 30 ms", b.h.unit)
+	}
+	for range 60 {
+		b.h.learnUnit(90 * float64(ms))
+	}
+	if b.h.unit < 80*float64(ms) {
+		t.Errorf("unit time %v us, work that stays at 90 ms must be learned in the end", b.h.unit)
+	}
+}
+
+// TestNewObjectPassesAFullNode: a new object goes to a busier node when the least loaded one takes nothing.
+func TestNewObjectPassesAFullNode(t *testing.T) {
+	b := newBench(t, plain(), 2)
+	b.h.unit = 10 * float64(ms)
+	b.step(b.ask(0, 0, cell(1), units(6)))
+	n := b.h.order[0]
+	n.down, n.downAt = sec, b.now
+	a := b.ask(1, 1, cell(-1))
+	if got := b.step(a); !has(got, Send{Request: a.Request, Node: 2}) {
+		t.Errorf("%v, want a send to node 2: node 1 takes no connections", got)
+	}
+}
+
 // TestVanishedAnswers: time-outs between quick answers say that answers vanish; then a request that waits
 // for long is sent again and shuts nothing. Time-outs in a row without answers are a node that hangs.
 func TestVanishedAnswers(t *testing.T) {
