--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,7 @@
 	newsOld = 1 * sec
 	// smooth is the weight of a new sample in a node's smoothed figures.
 	smooth = 0.2
-	// slowRise bounds what a time over twice the usual for its units counts, as it is a wait for the most part.
+	// slowRise bounds what a time over twice the usual counts: it is a wait for the most part.
 	slowRise = 0.125
 	// Attempts that time out between two quick answers of their node are lost ones; more than missingMost
 	// in a row are a node that hung. vanishing is the smoothed share of lost ones among those that
@@ -723,10 +723,7 @@
 
 // opening is where a window starts: the first pass at its most, the second at this host's part of a few.
 func (h *Host) opening(pass int) float64 {
-	if pass == 0 {
-		return windowMost
-	}
-	return min(windowMost, spareTotal/float64(h.set.Hosts))
+	return []float64{windowMost, min(windowMost, spareTotal/float64(h.set.Hosts))}[pass]
 }
 
 // least is this host's part of what all hosts together keep out at a node however slow it is.
