--- a/logic/logic.go
+++ b/logic/logic.go
@@ -103,8 +103,12 @@
 		}
 	}
 	h.before, h.now, h.out = h.now, max(now, h.now), actions
-	if h.wakeAt > 0 && h.now-h.wakeAt > stall {
-		h.stalled()
+	// This host's own timer comes much too late: the host stood still, so the times of what was out tell
+	// nothing of the nodes. Also covers a suspended machine; harm: one round trip less is learned from.
+	for _, n := range h.order {
+		for _, a := range n.flight {
+			a.blind = a.blind || h.wakeAt > 0 && h.now-h.wakeAt > stall
+		}
 	}
 	for _, e := range events {
 		switch e := e.(type) {
@@ -138,17 +142,6 @@
 	return actions
 }
 
-// stalled is what follows when this host's own timer comes much too late: the host stood still, so the
-// times of what was out tell nothing of the nodes. Also covers a suspended machine; harm: one round trip
-// less is learned from.
-func (h *Host) stalled() {
-	for _, n := range h.order {
-		for _, a := range n.flight {
-			a.blind = true
-		}
-	}
-}
-
 func (h *Host) emit(a Action) { h.out = append(h.out, a) }
 
 // wake keeps one timer running while anything waits.
@@ -361,9 +354,6 @@
 
 // releaseChains lets the first request of each rested key into its volume's queue.
 func (h *Host) releaseChains() {
-	if len(h.chains) == 0 {
-		return
-	}
 	keys := make([]uint64, 0, len(h.chains))
 	for k := range h.chains {
 		keys = append(keys, k)
@@ -484,9 +474,6 @@
 
 // runCycle is Gage's: a first pass by reservation, a second over the room that is left.
 func (h *Host) runCycle() {
-	if len(h.ring) == 0 {
-		return
-	}
 	h.age()
 	for _, late := range []bool{false, true} {
 		h.turns++
@@ -674,7 +661,7 @@
 		n.latency += smooth * (float64(took) - n.latency)
 		h.learnUnit(float64(took) / r.units)
 		wait := max(float64(took)-h.unit*r.units, 0)
-		n.wait, n.waitAt = wait, h.now
+		h.hear(n, wait)
 		for _, x := range n.flight {
 			if x.marks > 0 && x.sent < a.sent && !x.passed {
 				x.passed = true
@@ -765,7 +752,9 @@
 			}
 			long := waited > reservePart*float64(h.shortAim)*math.Exp2(float64(a.marks))
 			if long {
-				a.marks++
+				if a.marks++; h.vanish < vanishing/4 {
+					h.hear(n, waited)
+				}
 			}
 			if a.passed || long && h.vanish > vanishing {
 				n.land(a)
@@ -814,11 +803,23 @@
 	return len(n.flight) > 0 && h.now-n.last > pause<<min(n.silent, 6)
 }
 
-// wait is what a request would wait at the node, by its last answer: a queue drains no faster than time.
+// wait is what a request would wait at the node, by its last news: a queue drains no faster than time. A
+// node not heard of lately is taken to be like the others: in a rush that fills all nodes each host would
+// else lose a request to each of them to find out. Harm: one slow node makes unknown ones seem slower.
 func (h *Host) wait(n *node) float64 {
+	if h.now-n.waitAt > newsOld {
+		return max(n.wait-float64(h.now-n.waitAt), h.waits-float64(h.now-h.waitsAt), 0)
+	}
 	return max(n.wait-float64(h.now-n.waitAt), 0)
 }
 
+// hear takes in what a request has waited at a node.
+func (h *Host) hear(n *node, wait float64) {
+	n.wait, n.waitAt = wait, h.now
+	past := max(h.waits-float64(h.now-h.waitsAt), 0)
+	h.waits, h.waitsAt = past+smooth*(wait-past), h.now
+}
+
 // learnUnit follows the mean time a unit takes, over all nodes, as one node answers one host too seldom;
 // what an answer took beyond it is a wait. Times over twice the mean are waits for the most part and raise
 // it slowly, or after a jam all requests would seem too late to be sent, and nothing would teach better.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -358,6 +358,32 @@
 	}
 }
 
+// TestUnknownNodeIsTakenToBeLikeTheOthers: after long waits at the nodes that were asked, a node not heard of
+// lately gets no request that would be late there too; news of the node itself, and time, set that right.
+func TestUnknownNodeIsTakenToBeLikeTheOthers(t *testing.T) {
+	b := newBench(t, plain(), 3)
+	b.h.unit = 10 * float64(ms)
+	for range 20 {
+		b.h.hear(b.h.order[0], 900*float64(ms))
+	}
+	for _, n := range b.h.order {
+		n.last = b.now // no rest yet after which a late request might go
+	}
+	a := b.ask(0, 4, cell(1))
+	if got := sends(b.step(a)); len(got) != 0 {
+		t.Errorf("sent %v to a node that nothing is known of while the others are jammed", got)
+	}
+	b.h.order[2].wait, b.h.order[2].waitAt = 0, b.now
+	if got := sends(b.step(b.ask(0, 4, cell(2)))); len(got) != 1 {
+		t.Error("held a request for a node that has just answered quickly")
+	}
+	b.step(ClientGone{a.Request})
+	b.wait(sec)
+	if got := sends(b.step(b.ask(0, 4, cell(1)))); len(got) != 1 {
+		t.Error("still held after the jam has had its time to drain")
+	}
+}
+
 // TestVanishedAnswers: time-outs between quick answers say that answers vanish; then a request that waits
 // for long is sent again and shuts nothing. Time-outs in a row without answers are a node that hangs.
 func TestVanishedAnswers(t *testing.T) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -26,6 +26,8 @@
 	cells    map[int][]*node // by id for each shard
 	chains   map[uint64]*chain
 	shortAim Micros  // the shortest aim of any class
+	waits    float64 // smoothed wait at all nodes, at waitsAt
+	waitsAt  Micros
 	vanish   float64 // smoothed share of lost attempts among those that waited for long
 	unit     float64 // time of a unit where nothing waits, in Micros; 0: not seen
 	seq      uint64
