--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"os"
 	"reflect"
+	"strconv"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -787,6 +788,9 @@
 func TestNewNamesTheBadField(t *testing.T) {
 	for name, change := range map[string]func(*Settings){
 		"Hosts":            func(s *Settings) { s.Hosts = 0 },
+		"Number is 2":      func(s *Settings) { s.Number = 2 },
+		"Number is -1":     func(s *Settings) { s.Number = -1 },
+		"Hosts is -3":      func(s *Settings) { s.Hosts = -3 },
 		"Classes":          func(s *Settings) { s.Classes = nil },
 		"Classes[1].Worth": func(s *Settings) { s.Classes[1].Worth = math.NaN() },
 		"Plans[0].Reserve": func(s *Settings) { s.Plans[0].Reserve = -1 },
@@ -818,3 +822,63 @@
 		}
 	}
 }
+
+// TestStrangeNumbers: attached of no sense, a clock that jumps, a list replaced whole; each request of it is
+// answered or sent, and the sums stay finite.
+func TestStrangeNumbers(t *testing.T) {
+	for _, n := range []float64{0, 0.3, -2, 1e9, math.NaN(), math.Inf(1)} {
+		b := newBench(t, plain(), 2)
+		a := b.ask(0, 2, attached(n), units(1))
+		b.step(a)
+		if v := b.h.volumes[2]; v.attached < 1 || math.IsNaN(v.attached) || math.IsInf(v.attached, 0) {
+			t.Errorf("attached %v became %v", n, v.attached)
+		}
+		b.now += 3600 * sec
+		if b.step(TimerFired{}); b.h.held != 0 {
+			t.Errorf("attached %v: still held an hour later", n)
+		}
+	}
+	b := newBench(t, plain(), 2)
+	whole := NodeList{Kind: ListFull}
+	for i := range 500 {
+		whole.Nodes = append(whole.Nodes, Node{ID: NodeID(1000 + i), Cell: i, State: Ready})
+	}
+	b.step(whole)
+	if got := b.step(b.ask(0, 0, cell(0))); len(sends(got)) != 1 || !has(got, Send{Request: 1, Node: 1000}) {
+		t.Errorf("%v, want a send to the node that took the shard over", got)
+	}
+	b.step(NodeList{Kind: ListFull})
+	if got := sends(b.step(b.ask(0, 0, cell(3)))); len(got) != 0 {
+		t.Errorf("sent %v to nodes that are gone", got)
+	}
+}
+
+// BenchmarkStep is for comparison by hand: 50 nodes, 400 volumes, thousands of requests that wait.
+func BenchmarkStep(b *testing.B) {
+	for _, backlog := range []int{500, 4000} {
+		b.Run(strconv.Itoa(backlog), func(b *testing.B) {
+			s := plain()
+			s.Hosts = 200
+			h, err := New(s, 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			list := NodeList{}
+			for i := range 50 {
+				list.Nodes = append(list.Nodes, Node{ID: NodeID(i + 1), Cell: i, State: Ready})
+			}
+			now, id := 10*sec, RequestID(0)
+			h.Step(now, []Event{list}, nil)
+			for range backlog {
+				id++
+				h.Step(now, []Event{Arrival{Request: id, Cell: int(id % 50), Volume: VolumeID(id % 400), Attached: 14,
+					Units: 2, Plan: int(id % 5), DropDead: now + 3600*sec}}, nil)
+			}
+			var out []Action
+			for b.Loop() {
+				now += ms
+				out = h.Step(now, []Event{TimerFired{}}, out[:0])
+			}
+		})
+	}
+}
