--- a/logic/logic.go
+++ b/logic/logic.go
@@ -212,8 +212,8 @@
 
 func (h *Host) volume(e Arrival) *volume {
 	attached := e.Attached
-	if !(attached >= 1) || math.IsInf(attached, 0) {
-		attached = float64(h.set.Hosts)
+	if !(attached >= 1 && attached <= float64(h.set.Hosts)) {
+		attached = float64(h.set.Hosts) // there can't be more
 	}
 	v := h.volumes[e.Volume]
 	if v == nil {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -227,7 +227,7 @@
 		}, 10},
 	} {
 		s := plain()
-		s.TellsElsewhere, s.UsePeriod = c.elsewhere, c.period
+		s.TellsElsewhere, s.UsePeriod, s.Hosts = c.elsewhere, c.period, 3
 		b := newBench(t, s, 1)
 		b.step(b.ask(0, 1, attached(3)))
 		v := b.h.volumes[1]
@@ -830,7 +830,7 @@
 		b := newBench(t, plain(), 2)
 		a := b.ask(0, 2, attached(n), units(1))
 		b.step(a)
-		if v := b.h.volumes[2]; v.attached < 1 || math.IsNaN(v.attached) || math.IsInf(v.attached, 0) {
+		if v := b.h.volumes[2]; v.attached != 2 {
 			t.Errorf("attached %v became %v", n, v.attached)
 		}
 		b.now += 3600 * sec
