--- a/logic/logic.go
+++ b/logic/logic.go
@@ -559,7 +559,7 @@
 		}
 		well := n.failing <= sick
 		healthy = healthy || well
-		if load := (n.units + r.units) * max(n.latency, 1); !well {
+		if load := (n.units + r.units) * max(n.latency, n.silence, 1); !well {
 			if (ill == nil || load < illLeast) && !healthy && h.takes(n, r, pass, late) {
 				ill, illLeast = n, load
 			}
@@ -671,7 +671,7 @@
 		if wait < sparePart*float64(h.shortAim) && n.missing <= missingMost {
 			h.vanish = 1 - (1-h.vanish)*math.Pow(1-smooth, float64(n.missing))
 		}
-		if n.missing, n.silent = 0, 0; a.marks > 0 {
+		if n.missing, n.silent, n.silence = 0, 0, 0; a.marks > 0 {
 			h.vanish -= smooth * h.vanish
 		}
 		for p, part := range passParts {
@@ -684,6 +684,7 @@
 			}
 		}
 	case TimedOut, Full, ConnectFailed:
+		n.silence = float64(took) // a node that hangs has no answers to tell its time by
 		// A client that gives up before the node is late is impatient: that is no answer that vanished.
 		if e.Outcome == TimedOut && !a.passed && took > Micros(reservePart*float64(h.shortAim)) {
 			n.missing++
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -385,6 +385,29 @@
 	}
 }
 
+// TestNewObjectsAvoidSilence: a node that let an attempt end in vain looks empty, but new objects go elsewhere
+// until it answers again.
+func TestNewObjectsAvoidSilence(t *testing.T) {
+	b := newBench(t, plain(), 2)
+	b.step(b.ask(0, 4, cell(0)))
+	b.wait(600 * ms)
+	b.step(end(1, 0, 1, TimedOut), ClientGone{1})
+	b.wait(2 * sec)
+	a := b.ask(1, 4, cell(-1), units(6))
+	if got := b.step(a); !has(got, Send{Request: a.Request, Node: 2}) {
+		t.Errorf("%v, want a send to node 2: node 1 was silent", got)
+	}
+	if n := b.h.order[0]; n.silence == 0 {
+		t.Error("the silence is not remembered")
+	}
+	r := b.ask(0, 4, cell(0))
+	b.step(r)
+	b.after(20*ms, end(r.Request, 0, 1, OK))
+	if n := b.h.order[0]; n.silence != 0 {
+		t.Errorf("silence %v after an answer", n.silence)
+	}
+}
+
 // TestVanishedAnswers: time-outs between quick answers say that answers vanish; then a request that waits
 // for long is sent again and shuts nothing. Time-outs in a row without answers are a node that hangs.
 func TestVanishedAnswers(t *testing.T) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -123,6 +123,7 @@
 	halved  [2]Micros
 	flight  []*attempt // out from this host and not lost
 	units   float64    // their units
+	silence float64    // how long its last attempt was out in vain; 0: it was answered
 	silent  int        // tries in a row past its window
 	missing int        // time-outs since its last answer
 	latency float64    // smoothed time of answers, in Micros
