--- /dev/null
+++ b/ranges/ranges_test.go
@@ -0,0 +1,210 @@
+package ranges
+
+import (
+	"testing"
+
+	"appleplank/logic"
+
+	"pgregory.net/rapid"
+)
+
+func keys() func() uint64 {
+	n := uint64(0)
+	return func() uint64 { n++; return n }
+}
+
+func TestKeys(t *testing.T) {
+	o := New(keys())
+	take := func(id logic.RequestID, from, to int64, wantKey uint64, wantOK bool) {
+		t.Helper()
+		if key, ok := o.Take(id, from, to, 1000); ok != wantOK || ok && key != wantKey {
+			t.Errorf("request %d: key %d, %v; want %d, %v", id, key, ok, wantKey, wantOK)
+		}
+	}
+	take(1, 0, 10, 1, true)
+	take(2, 10, 20, 2, true)  // touches 1, overlaps nothing
+	take(3, 5, 8, 1, true)    // inside 1: shares its key
+	take(4, 8, 12, 0, false)  // overlaps two keys: held
+	take(5, 11, 13, 0, false) // overlaps a held one, which must go first
+	take(6, 30, 40, 3, true)
+
+	var free []logic.RequestID
+	look := func(now logic.Micros) []logic.RequestID {
+		free = nil
+		o.Free(now, func(id logic.RequestID, _ uint64) { free = append(free, id) })
+		return free
+	}
+	if got := look(1); len(got) != 0 {
+		t.Errorf("freed %v before anything ended", got)
+	}
+	o.Done(2, 50) // its bytes rest until 50
+	if got := look(49); len(got) != 0 {
+		t.Errorf("freed %v while the bytes of 2 rest", got)
+	}
+	if o.Next() != 50 {
+		t.Errorf("next is %d, want the end of the rest at 50", o.Next())
+	}
+	if got := look(50); len(got) != 2 || got[0] != 4 || got[1] != 5 {
+		t.Errorf("freed %v, want 4 and 5 in their turn", got)
+	}
+}
+
+// A request that rests binds later overlapping ones to its key, so that logic's own rest of the key holds them.
+func TestRestBindsKey(t *testing.T) {
+	o := New(keys())
+	o.Take(1, 0, 10, 1000)
+	o.Done(1, 70)
+	if key, ok := o.Take(2, 4, 6, 1000); !ok || key != 1 {
+		t.Errorf("key %d, %v; want the resting key 1", key, ok)
+	}
+}
+
+func TestExpired(t *testing.T) {
+	o := New(keys())
+	o.Take(1, 0, 10, 1000)
+	o.Take(2, 10, 20, 1000)
+	o.Take(3, 5, 15, 100)
+	o.Take(4, 14, 16, 2000)
+	var refused []logic.RequestID
+	o.Expired(99, func(id logic.RequestID) { refused = append(refused, id) })
+	if len(refused) != 0 {
+		t.Errorf("refused %v too early", refused)
+	}
+	o.Expired(100, func(id logic.RequestID) { refused = append(refused, id) })
+	if len(refused) != 1 || refused[0] != 3 {
+		t.Errorf("refused %v, want 3", refused)
+	}
+	freed := 0
+	o.Free(100, func(id logic.RequestID, key uint64) {
+		if freed++; id != 4 || key != 2 {
+			t.Errorf("freed %d under key %d, want 4 under 2", id, key)
+		}
+	})
+	if freed != 1 {
+		t.Errorf("%d freed once the one held before it was refused, want 1", freed)
+	}
+}
+
+// Whatever comes and ends in whatever order: two live changes that overlap have the same key, no key is given
+// to one while an earlier overlapping one is held, and in the end everything that came has been let go.
+func TestOverlapsShareKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type change struct {
+			from, to int64
+			key      uint64
+			turn     int
+		}
+		o, now, id := New(keys()), logic.Micros(0), logic.RequestID(0)
+		live := map[logic.RequestID]*change{}
+		var ids []logic.RequestID
+		given := map[logic.RequestID]bool{}
+		check := func(at logic.RequestID) {
+			given[at] = true
+			a := live[at]
+			for other, b := range live {
+				if other == at || a.from >= b.to || b.from >= a.to {
+					continue
+				}
+				if b.key != 0 && b.key != a.key {
+					t.Fatalf("%d and %d overlap under keys %d and %d", at, other, a.key, b.key)
+				}
+				if b.key == 0 && b.turn < a.turn {
+					t.Fatalf("%d goes before %d, which came first and is held", at, other)
+				}
+			}
+		}
+		free := func() {
+			o.Free(now, func(id logic.RequestID, key uint64) { live[id].key = key; check(id) })
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += logic.Micros(rapid.IntRange(0, 20).Draw(t, "pass"))
+			if rapid.Bool().Draw(t, "take") || len(ids) == 0 {
+				id++
+				from := int64(rapid.IntRange(0, 40).Draw(t, "from"))
+				c := &change{from, from + int64(rapid.IntRange(1, 12).Draw(t, "len")), 0, int(id)}
+				key, ok := o.Take(id, c.from, c.to, now+100000)
+				live[id] = c
+				ids = append(ids, id)
+				if ok {
+					c.key = key
+					check(id)
+				}
+			} else {
+				i := rapid.IntRange(0, len(ids)-1).Draw(t, "which")
+				if c := live[ids[i]]; c.key != 0 {
+					rest := logic.Micros(0)
+					o.Done(ids[i], rest)
+					delete(live, ids[i])
+					ids = append(ids[:i], ids[i+1:]...)
+				}
+			}
+			free()
+		}
+		for len(ids) > 0 {
+			ended := false
+			for i, x := range ids {
+				if live[x].key != 0 {
+					o.Done(x, 0)
+					delete(live, x)
+					ids = append(ids[:i], ids[i+1:]...)
+					ended = true
+					break
+				}
+			}
+			if !ended {
+				t.Fatalf("%d changes are held for good", len(ids))
+			}
+			free()
+		}
+		if l, h, r := o.Len(); l+h+r != 0 || o.live.Len() != 0 {
+			t.Fatalf("%d live, %d held, %d resting, %d kept at the end", l, h, r, o.live.Len())
+		}
+	})
+}
+
+func TestJoin(t *testing.T) {
+	for _, c := range []struct {
+		pieces []Answer
+		repeat logic.Repeat
+		want   Answer
+	}{
+		{[]Answer{Served, Served}, logic.Fragile, Served},
+		{[]Answer{Refused, Refused}, logic.Fragile, Refused},
+		{[]Answer{Served, Refused}, logic.Retryable, Refused},
+		{[]Answer{Served, Refused}, logic.Dedup, Failed},
+		{[]Answer{Refused, Served}, logic.Fragile, Failed},
+		{[]Answer{Served, Failed, Served}, logic.Retryable, Failed},
+		{[]Answer{Refused, Failed}, logic.Retryable, Failed},
+	} {
+		var got Answer
+		for i, p := range c.pieces {
+			got = Join(got, p, i == 0, c.repeat)
+		}
+		if got != c.want {
+			t.Errorf("%v of class %d come to %d, want %d", c.pieces, c.repeat, got, c.want)
+		}
+	}
+}
+
+func TestSplit(t *testing.T) {
+	run := func(at int64) int64 { return at/100*100 + 100 }
+	var got [][2]int64
+	Split(250, 200, run, func(from, n int64) { got = append(got, [2]int64{from, n}) })
+	want := [][2]int64{{250, 50}, {300, 100}, {400, 50}}
+	if len(got) != 3 || got[0] != want[0] || got[1] != want[1] || got[2] != want[2] {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
+func BenchmarkTakeDone(b *testing.B) {
+	o := New(keys())
+	for i := range 256 { // as many live as a deep volume has
+		o.Take(logic.RequestID(i), int64(i)*4096, int64(i+1)*4096, 1)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := logic.RequestID(1000 + i)
+		o.Take(id, int64(i%1000)*4096+1<<30, int64(i%1000+1)*4096+1<<30, 1)
+		o.Done(id, 0)
+	}
+}
