--- /dev/null
+++ b/internal/engine/core.go
@@ -0,0 +1,478 @@
+// Package engine carries block requests from the fronts to the nodes and their answers home. [Core] is a plain
+// struct without clock, socket or goroutine: what happens goes in, what to do comes out, and it runs the same in
+// simulated time. [Engine] is the thin shell that gives it real time and sockets. Every send, repeat, refusal and
+// wait comes from package logic, the order of overlapping changes from package ranges.
+package engine
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+
+	"appleplank/internal/block"
+	"appleplank/internal/settings"
+	"appleplank/logic"
+	"appleplank/ranges"
+
+	"golang.org/x/sync/semaphore"
+)
+
+// ActionKind says what an action asks for.
+type ActionKind uint8
+
+const (
+	Start  ActionKind = iota // start Attempt at its node
+	Drop                     // drop Attempt
+	Finish                   // answer Op
+	Note                     // log Text
+)
+
+// Action is something to do, in turn.
+type Action struct {
+	Kind    ActionKind
+	Attempt *block.Attempt
+	Op      *Op
+	Text    string
+}
+
+// Tally counts what the core has done since it began, and what it holds now.
+type Tally struct {
+	Taken, Gone    uint64
+	Answers        [3]uint64 // by verdict
+	Sends, Repeats uint64
+	Held           uint64 // changes held back because they overlapped several
+	NoMemory       uint64 // attempts not made for want of a buffer
+	Outcomes       [8]uint64
+	LateEnds       uint64 // ends of attempts that logic had been told of as timed out
+	Ops            int    // taken and not forgotten
+	Pieces         int
+	Out            int // attempts whose ends logic waits for
+	Attempts       int // attempts the back has not ended
+}
+
+// Core is the engine without time and sockets. What it holds is bounded by what fronts hand it: an op lives until
+// its deadline, its attempts as long as the back keeps them.
+type Core struct {
+	cfg     *settings.Config
+	host    *logic.Host
+	vols    []volume
+	pieces  map[logic.RequestID]*piece
+	lastID  uint64
+	nonce   uint64
+	due     dueHeap
+	wakes   []wake
+	events  []logic.Event
+	actions []logic.Action
+	out     []Action
+	before  []Action // those of the last Step, to be used again
+	pool    []*attempt
+	tally   Tally
+}
+
+type volume struct {
+	*settings.Volume
+	order  *ranges.Order
+	memory *semaphore.Weighted
+}
+
+type wake struct {
+	at    logic.Micros
+	token uint32
+}
+
+// attempt is one Send of logic's.
+type attempt struct {
+	block.Attempt
+	p      *piece
+	number int
+	sent   logic.Micros
+	stopAt logic.Micros
+	told   bool // logic knows that it ended
+	place  int  // in the heap; below zero: not there
+}
+
+// NewCore makes a core. The nonce sets its repeat keys apart from those of other gateways and of its own earlier
+// lives; only its low 32 bits count.
+func NewCore(cfg *settings.Config, seed, nonce uint64) (*Core, error) {
+	host, err := logic.New(cfg.Logic, seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{cfg: cfg, host: host, pieces: map[logic.RequestID]*piece{}, nonce: nonce << 32}
+	lastKey := uint64(0)
+	for i := range cfg.Volumes {
+		v := &cfg.Volumes[i]
+		order := ranges.New(func() uint64 { lastKey++; return lastKey })
+		c.vols = append(c.vols, volume{v, order, semaphore.NewWeighted(v.Memory)})
+	}
+	return c, nil
+}
+
+// Memory is what bounds a volume's buffers; fronts draw on it for what they take.
+func (c *Core) Memory(volume int) *semaphore.Weighted { return c.vols[volume].memory }
+
+// Tally tells the counts so far.
+func (c *Core) Tally() Tally {
+	t := c.tally
+	t.Pieces = len(c.pieces)
+	return t
+}
+
+// ---- what happens ----
+
+// Take is a request from a front, which has checked that its range lies in the volume and that the volume's table
+// knows its kind.
+func (c *Core) Take(now logic.Micros, op *Op) {
+	c.tally.Taken++
+	c.tally.Ops++
+	v := &c.vols[op.Volume]
+	op.taken = now
+	op.Class, _ = v.Class(op.Kind, op.Len)
+	by := now + c.cfg.Logic.Classes[op.Class].Deadline - c.cfg.Times.AnswerMargin
+	add := func(x *settings.Extent, from, n int64) {
+		c.lastID++
+		p := piecePool.Get().(*piece)
+		*p = piece{id: logic.RequestID(c.lastID), op: op, vol: v, extent: x, from: from, len: n, units: v.Units(n),
+			dropDead: by, fresh: true, ordered: op.Kind.Changes()}
+		op.pieces = append(op.pieces, p)
+		c.pieces[p.id] = p
+	}
+	if op.Kind == block.Flush { // to each namespace the volume lies on
+		for i := range v.Extents {
+			if x := &v.Extents[i]; !sameNamespace(v.Extents[:i], x) {
+				add(x, 0, 0)
+			}
+		}
+	} else {
+		ranges.Split(op.Offset, op.Len, func(at int64) int64 { x := v.find(at); return x.Start + x.Len },
+			func(from, n int64) { add(v.find(from), from-op.Offset, n) })
+	}
+	op.left, op.alive = len(op.pieces), len(op.pieces)
+	for _, p := range op.pieces {
+		if !p.ordered {
+			c.arrive(p, 0)
+			continue
+		}
+		start := op.Offset + p.from
+		if key, ok := v.order.Take(p.id, start, start+p.len, by); ok {
+			c.arrive(p, key)
+		} else {
+			p.held = true
+			c.tally.Held++
+		}
+	}
+}
+
+// sameNamespace tells whether an earlier extent lies in the same namespace of the same cell.
+func sameNamespace(before []settings.Extent, x *settings.Extent) bool {
+	for i := range before {
+		if before[i].Cell == x.Cell && before[i].Namespace == x.Namespace {
+			return true
+		}
+	}
+	return false
+}
+
+// find is the extent that holds a byte of the volume.
+func (v *volume) find(at int64) *settings.Extent {
+	lo, hi := 0, len(v.Extents)
+	for lo < hi {
+		if m := (lo + hi) / 2; v.Extents[m].Start+v.Extents[m].Len <= at {
+			lo = m + 1
+		} else {
+			hi = m
+		}
+	}
+	return &v.Extents[lo]
+}
+
+func (c *Core) arrive(p *piece, key uint64) {
+	p.held = false
+	c.events = append(c.events, logic.Arrival{
+		Request: p.id, Class: p.op.Class, Cell: p.extent.Cell, Key: key, Volume: logic.VolumeID(p.vol.ID),
+		Plan: p.vol.Plan, Attached: p.vol.Attached, Units: p.units, DropDead: p.dropDead,
+	})
+}
+
+// Gone says that the client of a request has left. What is out runs on as logic decides.
+func (c *Core) Gone(now logic.Micros, op *Op) {
+	if op.over || op.gone {
+		return
+	}
+	op.gone = true
+	c.tally.Gone++
+	for _, p := range op.pieces {
+		if p.answered {
+			continue
+		}
+		p.answered = true
+		if !p.held {
+			c.events = append(c.events, logic.ClientGone{Request: p.id})
+		}
+		c.forget(now, p)
+	}
+}
+
+// Ended is the end of an attempt, as the back tells it.
+func (c *Core) Ended(now logic.Micros, b *block.Attempt, r block.Result) {
+	a := b.Owner.(*attempt)
+	if a.told {
+		c.tally.LateEnds++
+	} else {
+		c.tell(now, a, r)
+	}
+	c.recycle(a)
+}
+
+func (c *Core) recycle(a *attempt) {
+	a.Buffer.Release()
+	a.Buffer, a.p = nil, nil
+	c.tally.Attempts--
+	c.pool = append(c.pool, a)
+}
+
+// tell gives logic the end of an attempt.
+func (c *Core) tell(now logic.Micros, a *attempt, r block.Result) {
+	p := a.p
+	a.told = true
+	if a.place >= 0 {
+		heap.Remove(&c.due, a.place)
+	}
+	c.tally.Outcomes[r.Outcome]++
+	c.tally.Out--
+	p.out--
+	switch r.Outcome {
+	case logic.TimedOut, logic.Reset, logic.Cancelled:
+		p.rest = now + c.cfg.Logic.Rules.OrderPause
+	case logic.OK:
+		if !p.answered && p.op.Kind == block.Read {
+			p.result, p.at = a.Buffer.Hold(), a.At
+		}
+	}
+	c.events = append(c.events, logic.AttemptEnded{
+		Request: p.id, Attempt: a.number, Node: a.Node, Outcome: r.Outcome, Took: now - a.sent,
+		Settled: r.Outcome == logic.OK || p.answered, Elsewhere: int(r.Elsewhere / p.vol.UnitBytes), Load: r.Load,
+	})
+	if r.Outcome == logic.OK {
+		c.answer(now, p, ranges.Served, 0)
+	}
+	c.forget(now, p)
+}
+
+// Nodes is news of the nodes.
+func (c *Core) Nodes(nodes []logic.Node) {
+	if len(nodes) > 0 {
+		c.events = append(c.events, logic.NodeList{Kind: logic.ListDelta, Nodes: nodes})
+	}
+}
+
+// Next is when Step must be called at the latest; 0: not before something happens.
+func (c *Core) Next() (at logic.Micros) {
+	if len(c.events) > 0 || len(c.out) > 0 {
+		return 1
+	}
+	soon := func(t logic.Micros) {
+		if t > 0 && (at == 0 || t < at) {
+			at = t
+		}
+	}
+	if len(c.due) > 0 {
+		soon(c.due[0].stopAt)
+	}
+	for _, w := range c.wakes {
+		soon(w.at)
+	}
+	for i := range c.vols {
+		soon(c.vols[i].order.Next())
+	}
+	return at
+}
+
+// Step lets all that has happened by now take its effect. The actions are valid until the next Step.
+func (c *Core) Step(now logic.Micros) []Action {
+	for len(c.due) > 0 && c.due[0].stopAt <= now {
+		a := c.due[0]
+		c.out = append(c.out, Action{Kind: Drop, Attempt: &a.Attempt})
+		c.tell(now, a, block.Result{Outcome: logic.TimedOut, Load: logic.NoLoad})
+	}
+	for i := range c.vols {
+		c.vols[i].order.Expired(now, func(id logic.RequestID) { c.refuse(now, id, ranges.Refused, 0) })
+		c.vols[i].order.Free(now, func(id logic.RequestID, key uint64) { c.arrive(c.pieces[id], key) })
+	}
+	keep := c.wakes[:0]
+	for _, w := range c.wakes {
+		if w.at <= now {
+			c.events = append(c.events, logic.TimerFired{Token: w.token})
+		} else {
+			keep = append(keep, w)
+		}
+	}
+	c.wakes = keep
+	c.actions = c.host.Step(now, c.events, c.actions[:0])
+	clear(c.events)
+	c.events = c.events[:0]
+	for _, x := range c.actions {
+		c.act(now, x)
+	}
+	clear(c.actions)
+	out := c.out
+	clear(c.before)
+	c.out, c.before = c.before[:0], out
+	return out
+}
+
+// ---- what to do ----
+
+func (c *Core) act(now logic.Micros, x logic.Action) {
+	switch x := x.(type) {
+	case logic.Send:
+		c.send(now, x)
+	case logic.Deny:
+		c.refuse(now, x.Request, ranges.Refused, x.CoolDown)
+	case logic.Surrender:
+		c.refuse(now, x.Request, ranges.Failed, 0)
+	case logic.Wake:
+		c.wakes = append(c.wakes, wake{now + x.After, x.Token})
+	case logic.Note:
+		c.out = append(c.out, Action{Kind: Note, Text: x.Text})
+	case logic.Abort, logic.Probe, logic.Watch, logic.Fetch:
+		// The module has these for other callers; here a time-out aborts, reports come with answers, and the node
+		// list is pushed.
+		c.out = append(c.out, Action{Kind: Note, Text: fmt.Sprintf("logic asks for %T, which this engine has no use for", x)})
+	}
+}
+
+// refuse ends a piece without service.
+func (c *Core) refuse(now logic.Micros, id logic.RequestID, how ranges.Answer, coolDown logic.Micros) {
+	if p := c.pieces[id]; p != nil {
+		c.answer(now, p, how, coolDown)
+		c.forget(now, p)
+	}
+}
+
+func (c *Core) send(now logic.Micros, s logic.Send) {
+	p := c.pieces[s.Request]
+	if p == nil {
+		return
+	}
+	a := c.newAttempt()
+	op := p.op
+	a.p, a.number, a.sent, a.stopAt, a.told = p, p.tries, now, p.dropDead, false
+	if s.StopAt > 0 {
+		a.stopAt = min(a.stopAt, s.StopAt)
+	}
+	a.Node, a.Kind, a.Namespace, a.Len, a.Offset, a.At, a.Key = s.Node, op.Kind, p.extent.Namespace, p.len, 0, 0, 0
+	a.Durable = op.Durable
+	if op.Kind != block.Flush {
+		a.Offset = p.extent.Base + op.Offset + p.from - p.extent.Start
+	}
+	if op.Kind.Changes() {
+		a.Key = c.nonce | uint64(p.id)&0xffffffff
+	}
+	c.tally.Sends++
+	if p.tries > 0 {
+		c.tally.Repeats++
+	}
+	p.tries++
+	p.out++
+	c.tally.Out++
+	c.tally.Attempts++
+	switch {
+	case op.Kind == block.Write:
+		a.Buffer, a.At = op.Buffer.Hold(), p.from
+	case op.Kind == block.Read && p.fresh:
+		a.Buffer, a.At, p.fresh = op.Buffer.Hold(), p.from, false
+	case op.Kind == block.Read:
+		// An earlier attempt may still be read into the op's own buffer, so a further one has its own.
+		if !p.vol.memory.TryAcquire(p.len) {
+			c.tally.NoMemory++
+			c.tell(now, a, block.Result{Outcome: logic.Moot, Load: logic.NoLoad})
+			c.recycle(a)
+			return
+		}
+		a.Buffer = block.NewBuffer(p.len, p.vol.memory.Release)
+	}
+	heap.Push(&c.due, a)
+	c.out = append(c.out, Action{Kind: Start, Attempt: &a.Attempt})
+}
+
+func (c *Core) newAttempt() *attempt {
+	if n := len(c.pool); n > 0 {
+		a := c.pool[n-1]
+		c.pool = c.pool[:n-1]
+		return a
+	}
+	a := &attempt{place: -1}
+	a.Owner = a
+	return a
+}
+
+// answer takes the final answer of a piece, and with the last one gives that of its op.
+func (c *Core) answer(now logic.Micros, p *piece, how ranges.Answer, coolDown logic.Micros) {
+	if p.answered {
+		return
+	}
+	p.answered = true
+	op := p.op
+	op.answer = ranges.Join(op.answer, how, !op.joined, c.cfg.Logic.Classes[op.Class].Repeat)
+	op.joined = true
+	op.CoolDown = max(op.CoolDown, coolDown)
+	if op.left--; op.left > 0 || op.gone {
+		return
+	}
+	op.over = true
+	op.Verdict = verdicts[op.answer]
+	if op.Verdict != block.Refused {
+		op.CoolDown = 0
+	}
+	op.Took = now - op.taken
+	c.tally.Answers[op.Verdict]++
+	c.out = append(c.out, Action{Kind: Finish, Op: op})
+}
+
+var verdicts = [...]block.Verdict{ranges.Served: block.Served, ranges.Refused: block.Refused, ranges.Failed: block.Failed}
+
+// forget lets go of a piece that is answered and has nothing out.
+func (c *Core) forget(now logic.Micros, p *piece) {
+	if !p.answered || p.out > 0 || c.pieces[p.id] != p {
+		return
+	}
+	delete(c.pieces, p.id)
+	if p.ordered {
+		rest := p.rest
+		if rest <= now {
+			rest = 0
+		}
+		p.vol.order.Done(p.id, rest)
+	}
+	if p.op.alive--; p.op.alive == 0 {
+		c.tally.Ops--
+		p.op.Release() // the front's hold keeps it until it has answered
+	}
+}
+
+// dueHeap holds attempts by the time they are given up.
+type dueHeap []*attempt
+
+func (h dueHeap) Len() int { return len(h) }
+func (h dueHeap) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	return cmp.Or(cmp.Compare(a.stopAt, b.stopAt), cmp.Compare(a.p.id, b.p.id), cmp.Compare(a.number, b.number)) < 0
+}
+func (h dueHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+func (h *dueHeap) Push(x any) {
+	a := x.(*attempt)
+	a.place = len(*h)
+	*h = append(*h, a)
+}
+func (h *dueHeap) Pop() any {
+	old := *h
+	a := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	a.place = -1
+	return a
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,206 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"appleplank/internal/block"
+	"appleplank/internal/settings"
+	"appleplank/logic"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/semaphore"
+)
+
+// Engine gives a [Core] real time and sockets. There is no goroutine of its own: whoever brings something that
+// happened also runs the core, or leaves it to the one who does so at the moment. So all that is ready at a time
+// goes into one Step, and a request passes from ring to socket without waiting for another goroutine.
+type Engine struct {
+	core  *Core
+	back  block.Back
+	log   *zap.Logger
+	epoch time.Time
+
+	mu    sync.Mutex // the core; held for a Step and its actions, none of which waits for a peer
+	timer *time.Timer
+	armed logic.Micros // 0: the timer is off
+	ended bool
+
+	inMu sync.Mutex
+	in   []input
+	work []input // under mu
+	idle chan struct{}
+	cold bool // idle is to be closed when nothing is held
+}
+
+type inputKind uint8
+
+const (
+	taken inputKind = iota
+	gone
+	ended
+	nodes
+	tick
+)
+
+// input is something that happened. What is queued is bounded by what is out: an op is taken and gone once, an
+// attempt ends once, and the node list is short.
+type input struct {
+	kind    inputKind
+	op      *Op
+	attempt *block.Attempt
+	result  block.Result
+	nodes   []logic.Node
+}
+
+// clockStart is the engine's time at its start: above zero, as logic takes zero for never, and with room for nodes
+// that started before.
+const clockStart = time.Hour
+
+// New makes an engine; [Engine.SetBack] gives it the nodes before the first request.
+func New(cfg *settings.Config, seed, nonce uint64, log *zap.Logger) (*Engine, error) {
+	core, err := NewCore(cfg, seed, nonce)
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{core: core, log: log, epoch: time.Now().Add(-clockStart), idle: make(chan struct{})}
+	e.timer = time.AfterFunc(time.Hour, func() { e.post(input{kind: tick}) })
+	e.timer.Stop()
+	return e, nil
+}
+
+// SetBack tells the engine who carries attempts out.
+func (e *Engine) SetBack(b block.Back) { e.back = b }
+
+// Now is the engine's clock, which goes on while the machine's is set.
+func (e *Engine) Now() logic.Micros { return logic.Micros(time.Since(e.epoch).Microseconds()) }
+
+// Memory is what bounds a volume's buffers.
+func (e *Engine) Memory(volume int) *semaphore.Weighted { return e.core.Memory(volume) }
+
+// Take hands a request over; its front hears of the answer exactly once.
+func (e *Engine) Take(op *Op) { e.post(input{kind: taken, op: op}) }
+
+// Gone says that the client of a request has left, and passes the front's hold on it to the engine. The front must
+// not have heard of an answer, and takes none from then on.
+func (e *Engine) Gone(op *Op) { e.post(input{kind: gone, op: op}) }
+
+// AttemptEnded implements [block.Sink].
+func (e *Engine) AttemptEnded(a *block.Attempt, r block.Result) {
+	e.post(input{kind: ended, attempt: a, result: r})
+}
+
+// Nodes gives news of the nodes.
+func (e *Engine) Nodes(list []logic.Node) { e.post(input{kind: nodes, nodes: list}) }
+
+// Tally tells the counts so far.
+func (e *Engine) Tally() Tally {
+	e.mu.Lock()
+	t := e.core.Tally()
+	e.mu.Unlock()
+	e.catchUp()
+	return t
+}
+
+// Drained waits until nothing is held any more, or ctx ends. Fronts must have stopped taking.
+func (e *Engine) Drained(ctx context.Context) error {
+	e.mu.Lock()
+	e.cold = true
+	e.mu.Unlock()
+	e.post(input{kind: tick})
+	select {
+	case <-e.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close stops the timer. Nothing may be brought any more.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	e.ended = true
+	e.timer.Stop()
+	e.mu.Unlock()
+}
+
+func (e *Engine) post(in input) {
+	e.inMu.Lock()
+	e.in = append(e.in, in)
+	e.inMu.Unlock()
+	e.catchUp()
+}
+
+// catchUp runs the core while something is brought and nobody else runs it. Whoever has held the lock calls it after
+// letting go, so nothing stays behind.
+func (e *Engine) catchUp() {
+	for e.pending() && e.mu.TryLock() {
+		e.run()
+		e.mu.Unlock()
+	}
+}
+
+func (e *Engine) pending() bool {
+	e.inMu.Lock()
+	defer e.inMu.Unlock()
+	return len(e.in) > 0
+}
+
+// run lets the core take what was brought and carries out what it wants, until nothing is left to do now.
+func (e *Engine) run() {
+	for {
+		e.inMu.Lock()
+		e.in, e.work = e.work[:0], e.in
+		e.inMu.Unlock()
+		now := e.Now()
+		if len(e.work) == 0 {
+			if next := e.core.Next(); next == 0 || next > now {
+				e.arm(now, next)
+				break
+			}
+		}
+		for i := range e.work {
+			switch in := &e.work[i]; in.kind {
+			case taken:
+				e.core.Take(now, in.op)
+			case gone:
+				e.core.Gone(now, in.op)
+				in.op.Release()
+			case ended:
+				e.core.Ended(now, in.attempt, in.result)
+			case nodes:
+				e.core.Nodes(in.nodes)
+			case tick:
+				e.armed = 0
+			}
+		}
+		clear(e.work)
+		for _, a := range e.core.Step(now) {
+			switch a.Kind {
+			case Start:
+				e.back.Start(a.Attempt)
+			case Drop:
+				e.back.Drop(a.Attempt)
+			case Finish:
+				a.Op.Front.Done(a.Op)
+			case Note:
+				e.log.Info(a.Text)
+			}
+		}
+	}
+	if e.cold {
+		if t := &e.core.tally; t.Ops == 0 && t.Attempts == 0 {
+			e.cold = false
+			close(e.idle)
+		}
+	}
+}
+
+func (e *Engine) arm(now, next logic.Micros) {
+	if e.ended || next == 0 || e.armed != 0 && e.armed <= next {
+		return
+	}
+	e.armed = next
+	e.timer.Reset(time.Duration(next-now) * time.Microsecond)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,196 @@
+// Package fleet sets up a small fleet on loopback: stand-in nodes, a directory, and the settings of gateways that use
+// them. The demo, the tests and the measurements share it.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"appleplank/internal/standin"
+)
+
+// Shape is what a fleet looks like.
+type Shape struct {
+	Nodes    int
+	Gateways int
+	Node     standin.NodeConfig // what all nodes are like; names, addresses and namespaces are filled in
+	Volumes  []Volume
+	Listed   bool   // a directory names the nodes, instead of the settings
+	Head     string // settings that all gateways share: classes, plans, rules
+	Gateway  string // more arguments of gateway()
+	More     string // further calls: times, bounds
+}
+
+// Volume is one volume of a fleet. Its extents are of one size and lie on the cells in turn.
+type Volume struct {
+	Name    string
+	Plan    string
+	Cells   []int
+	Extent  int64
+	Through []int  // gateways
+	Table   string // name of a table in Head
+	More    string // further arguments of volume()
+}
+
+// Size is the volume's bytes.
+func (v *Volume) Size() int64 { return v.Extent * int64(len(v.Cells)) }
+
+// Fleet is nodes that are up, and settings on disk.
+type Fleet struct {
+	Dir       string
+	Nodes     []*standin.Node
+	Directory *standin.Directory
+	Settings  []string // a file for each gateway
+	Shape     Shape
+}
+
+// New starts the nodes and writes the settings to dir.
+func New(dir string, shape Shape) (f *Fleet, err error) {
+	f = &Fleet{Dir: dir, Shape: shape}
+	defer func() {
+		if err != nil {
+			f.Close()
+		}
+	}()
+	spaces := make([]map[uint32]int64, shape.Nodes)
+	for i := range spaces {
+		spaces[i] = map[uint32]int64{}
+	}
+	for i, v := range shape.Volumes {
+		for _, cell := range v.Cells {
+			spaces[cell][uint32(i+1)] += v.Extent
+		}
+	}
+	for i := range shape.Nodes {
+		cfg := shape.Node
+		cfg.NQN = fmt.Sprintf("nqn.2026-12.example.standin:node%d", i)
+		cfg.Namespaces, cfg.Seed = spaces[i], cfg.Seed+uint64(i)
+		n := standin.NewNode(cfg)
+		if err := n.Up(true); err != nil {
+			return f, err
+		}
+		f.Nodes = append(f.Nodes, n)
+	}
+	if shape.Listed {
+		if f.Directory, err = standin.NewDirectory("127.0.0.1:0"); err != nil {
+			return f, err
+		}
+		f.Directory.Set(f.Nodes...)
+	}
+	for g := range shape.Gateways {
+		path := filepath.Join(dir, fmt.Sprintf("gw%d.star", g))
+		if err := os.WriteFile(path, []byte(f.settings(g)), 0o644); err != nil {
+			return f, err
+		}
+		f.Settings = append(f.Settings, path)
+	}
+	return f, nil
+}
+
+func (f *Fleet) settings(g int) string {
+	var b strings.Builder
+	s := &f.Shape
+	b.WriteString(s.Head)
+	fmt.Fprintf(&b, "gateway(name = \"gw%d\", hosts = %d, number = %d%s)\n", g, s.Gateways, g, s.Gateway)
+	b.WriteString(s.More)
+	if f.Directory != nil {
+		fmt.Fprintf(&b, "directory(address = %q)\n", f.Directory.Address())
+	}
+	for i, n := range f.Nodes {
+		address := ""
+		if f.Directory == nil {
+			address = fmt.Sprintf("address = %q, ", n.Address())
+		}
+		fmt.Fprintf(&b, "node(id = %d, cell = %d, %snqn = %q)\n", i+1, i, address, n.NQN())
+	}
+	for i, v := range s.Volumes {
+		socket := ""
+		for _, t := range v.Through {
+			if t == g {
+				socket = fmt.Sprintf("socket = %q, ", f.socketName(g, v.Name))
+			}
+		}
+		fmt.Fprintf(&b, "volume(id = %d, name = %q, plan = %q, gateways = %d, %stable = %s,%s extents = [\n", i+1, v.Name, v.Plan,
+			len(v.Through), socket, v.Table, v.More)
+		at := map[int]int64{}
+		for _, cell := range v.Cells {
+			fmt.Fprintf(&b, "    dict(size = B(%d), cell = %d, namespace = %d, base = B(%d)),\n", v.Extent, cell, i+1, at[cell])
+			at[cell] += v.Extent
+		}
+		b.WriteString("])\n")
+	}
+	return b.String()
+}
+
+func (f *Fleet) socketName(g int, volume string) string { return fmt.Sprintf("gw%d-%s.sock", g, volume) }
+
+// Socket is the path of a volume's socket at a gateway.
+func (f *Fleet) Socket(g int, volume string) string { return filepath.Join(f.Dir, f.socketName(g, volume)) }
+
+// Dial connects a client to a volume, waiting a while for the socket to be there.
+func (f *Fleet) Dial(g int, volume string, cfg standin.ClientConfig, wait time.Duration) (*standin.Client, error) {
+	for limit := time.Now().Add(wait); ; time.Sleep(10 * time.Millisecond) {
+		c, err := standin.Dial(f.Socket(g, volume), cfg)
+		if err == nil || time.Now().After(limit) {
+			return c, err
+		}
+	}
+}
+
+// Close ends all nodes and the directory.
+func (f *Fleet) Close() error {
+	if f.Directory != nil {
+		f.Directory.Close()
+	}
+	for _, n := range f.Nodes {
+		n.Crash()
+	}
+	return nil
+}
+
+// Where finds the node, namespace and byte there of a byte of a volume.
+func (f *Fleet) Where(volume int, at int64) (node int, ns uint32, off int64) {
+	v := &f.Shape.Volumes[volume]
+	i := int(at / v.Extent)
+	for _, cell := range v.Cells[:i] {
+		if cell == v.Cells[i] {
+			off += v.Extent
+		}
+	}
+	return v.Cells[i], uint32(volume + 1), off + at%v.Extent
+}
+
+// Head is settings for a plain fleet: reads, writes and bulk reads, safe to repeat, and three plans.
+const Head = `
+class_(name = "read", aim = ms(250), deadline = s(2), worth = 2, late_share = 0.2)
+class_(name = "write", aim = ms(300), deadline = s(2), worth = 3, late_share = 0.2, in_order = True, writes = True)
+class_(name = "bulk", aim = s(1), deadline = s(3), worth = 1, late_share = 0.1)
+plan(name = "basic", rate = 60, reserve = 20, weight = 1, price = 0.8, limit = 120, limit_burst = 60, limit_slack = 12)
+plan(name = "standard", rate = 60, reserve = 70, weight = 3)
+plan(name = "priority", rate = 100, reserve = 80, weight = 6, price = 1.4)
+TABLE = [dict(kind = "read", class_ = "read", up_to = KiB(128)), dict(kind = "read", class_ = "bulk"),
+    dict(kind = "flush", class_ = "write"), dict(kind = "write", class_ = "write"),
+    dict(kind = "discard", class_ = "write"), dict(kind = "write_zeroes", class_ = "write")]
+`
+
+var errTime = errors.New("fleet: not in time")
+
+// Eventually waits until ok, or gives an error once the time is over.
+func Eventually(limit time.Duration, ok func() bool) error {
+	for end := time.Now().Add(limit); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			return errTime
+		}
+	}
+	return nil
+}
+
+// Fast is a node that answers at once, of whatever its MDTS.
+func Fast() standin.NodeConfig {
+	return standin.NodeConfig{WriteCache: true, InCapsule: 8192, Remember: 4 * time.Second}
+}
+
--- /dev/null
+++ b/internal/front/ring/server.go
@@ -0,0 +1,158 @@
+package ring
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"appleplank/internal/engine"
+	"appleplank/internal/settings"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// mostSessions bounds the clients of one volume at a time; further ones wait in the socket's backlog.
+const mostSessions = 8
+
+// Server listens for the clients of all volumes.
+type Server struct {
+	engine     *engine.Engine
+	log        *zap.Logger
+	mostMemory int64
+	volumes    []*listener
+	Sessions   atomic.Int64 // now
+	Ended      atomic.Int64 // with an error, since the start
+}
+
+type listener struct {
+	dev   device
+	l     *net.UnixListener
+	mu    sync.Mutex
+	live  map[*session]bool
+	drain bool
+}
+
+// Listen opens the sockets of all volumes that have one.
+func Listen(cfg *settings.Config, e *engine.Engine, log *zap.Logger) (*Server, error) {
+	s := &Server{engine: e, log: log, mostMemory: cfg.Bounds.MostMemory}
+	for i := range cfg.Volumes {
+		v := &cfg.Volumes[i]
+		if v.Socket == "" {
+			continue
+		}
+		l, err := listen(v.Socket)
+		if err != nil {
+			s.Close()
+			return nil, fmt.Errorf("volume %q: %w", v.Name, err)
+		}
+		s.volumes = append(s.volumes, &listener{dev: device{v, i, cfg.Bounds.MostBytes}, l: l, live: map[*session]bool{}})
+	}
+	return s, nil
+}
+
+// listen takes over a path that a killed gateway has left, not one that somebody listens on.
+func listen(path string) (*net.UnixListener, error) {
+	addr := &net.UnixAddr{Name: path, Net: "unix"}
+	if c, err := net.DialUnix("unix", nil, addr); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("socket %s: another process listens on it", path)
+	}
+	if st, err := os.Lstat(path); err == nil {
+		if st.Mode()&os.ModeSocket == 0 {
+			return nil, fmt.Errorf("socket %s: a file that is no socket is there", path)
+		}
+		if err := os.Remove(path); err != nil {
+			return nil, fmt.Errorf("socket %s: %w", path, err)
+		}
+	}
+	l, err := net.ListenUnix("unix", addr)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(path, 0o660); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Serve takes clients until ctx ends, and returns when the last session is gone.
+func (s *Server) Serve(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, v := range s.volumes {
+		g.Go(func() error { return s.accept(ctx, v) })
+	}
+	return g.Wait()
+}
+
+func (s *Server) accept(ctx context.Context, v *listener) error {
+	var clients errgroup.Group
+	clients.SetLimit(mostSessions)
+	stop := context.AfterFunc(ctx, func() { v.l.Close() })
+	defer stop()
+	defer clients.Wait()
+	log := s.log.With(zap.String("volume", v.dev.Name))
+	for n := 1; ; n++ {
+		c, err := v.l.AcceptUnix()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			log.Warn("accept", zap.Error(err)) // out of descriptors, say: what is open goes on
+			if !pause(ctx, 100*time.Millisecond) {
+				return nil
+			}
+			continue
+		}
+		clients.Go(func() error {
+			ss := newSession(ctx, s, &v.dev, c, log.With(zap.Int("client", n)))
+			v.mu.Lock()
+			v.live[ss] = true
+			drain := v.drain
+			v.mu.Unlock()
+			if drain {
+				c.Close()
+			}
+			s.Sessions.Add(1)
+			ss.log.Info("client came")
+			err := ss.serve()
+			s.Sessions.Add(-1)
+			v.mu.Lock()
+			delete(v.live, ss)
+			v.mu.Unlock()
+			if err != nil {
+				s.Ended.Add(1)
+				ss.log.Warn("client closed", zap.Error(err))
+			} else {
+				ss.log.Info("client left")
+			}
+			return nil
+		})
+	}
+}
+
+// StopTaking lets no client in and takes nothing more off the rings; what was taken is still answered.
+func (s *Server) StopTaking() {
+	for _, v := range s.volumes {
+		v.l.Close()
+		v.mu.Lock()
+		v.drain = true
+		for ss := range v.live {
+			ss.stopTaking()
+		}
+		v.mu.Unlock()
+	}
+}
+
+// Close lets go of sockets that were never served.
+func (s *Server) Close() {
+	for _, v := range s.volumes {
+		v.l.Close()
+	}
+}
--- /dev/null
+++ b/internal/front/ring/vring.go
@@ -0,0 +1,475 @@
+package ring
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"appleplank/internal/block"
+	"appleplank/internal/engine"
+)
+
+// vring is one queue of a client: what the front-end has told of it and, while it runs, two goroutines, one that
+// takes requests when kicked and one that writes answers. The session's goroutine owns all fields but those below mu.
+type vring struct {
+	s       *session
+	index   int
+	num     uint16
+	descAt  uint64
+	availAt uint64
+	usedAt  uint64
+	placed  bool // addresses were told
+	base    uint16
+	enabled bool
+	started bool // kicked once since it was last stopped
+	kick    *os.File
+	polled  bool // the front-end gave no kick descriptor
+	call    int  // below zero: none
+	errFD   int
+
+	run *running // nil: does not run
+}
+
+// running is one life of a ring, from its start until everything taken was answered.
+type running struct {
+	v      *vring
+	q      virtqueue
+	cancel context.CancelFunc
+	ctx    context.Context
+	taker  chan struct{} // closed when the taking goroutine has ended
+	writer chan struct{} // and the answering one
+	buf    chain
+
+	mu       sync.Mutex
+	requests []request // by head
+	out      int
+	done     []*engine.Op
+	stopping bool // nothing is taken any more
+	gone     bool // the client has left: answers are dropped
+	wake     chan struct{}
+}
+
+// start begins a ring that has all it needs. It takes nothing before the first kick.
+func (v *vring) start() error {
+	if v.run != nil || !v.placed || v.num == 0 || v.kick == nil && !v.polled || !v.enabled {
+		return nil
+	}
+	if v.kick != nil {
+		v.kick.SetReadDeadline(time.Time{}) // a pause has set one
+	}
+	r := &running{v: v, taker: make(chan struct{}), writer: make(chan struct{}), requests: make([]request, v.num),
+		wake: make(chan struct{}, 1)}
+	if err := r.place(); err != nil {
+		return err
+	}
+	r.ctx, r.cancel = context.WithCancel(v.s.ctx)
+	v.run = r
+	go r.take()
+	go r.answer()
+	return nil
+}
+
+// place finds the ring in the client's memory; also after the memory has changed.
+func (r *running) place() (err error) {
+	v, m := r.v, &r.v.s.memory
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("queue %d: %w", v.index, err)
+		}
+	}()
+	desc, avail, used := r.q.sizes(v.num)
+	q := &r.q
+	if q.desc, err = m.user(v.descAt, desc); err != nil {
+		return err
+	}
+	if q.avail, err = m.user(v.availAt, avail); err != nil {
+		return err
+	}
+	if q.used, err = m.user(v.usedAt, used); err != nil {
+		return err
+	}
+	if v.descAt%16 != 0 || v.availAt%2 != 0 || v.usedAt%4 != 0 {
+		return errors.New("ring addresses are not aligned")
+	}
+	if q.num == 0 {
+		q.num = v.num
+		q.lastAvail = v.base
+		q.eventIdx = v.s.features&featEventIdx != 0
+		q.indirect = v.s.features&featIndirect != 0
+		defer fault(&err)
+		q.usedIdx = load16(q.used[2:])
+		q.signalled = q.usedIdx
+	}
+	return nil
+}
+
+// stop ends the taking, lets everything that was taken be answered, and gives the index of the next entry to take.
+// Answers come by their deadlines, so it ends.
+func (v *vring) stop() uint16 {
+	r := v.run
+	if r == nil {
+		return v.base
+	}
+	r.cancel()
+	if v.kick != nil {
+		v.kick.SetReadDeadline(time.Unix(1, 0))
+	}
+	<-r.taker
+	r.mu.Lock()
+	r.stopping = true
+	r.mu.Unlock()
+	r.nudge()
+	<-r.writer
+	v.base = r.q.lastAvail
+	v.run = nil
+	if r.gone { // nobody else changes it now
+		for i := range r.requests {
+			if q := &r.requests[i]; q.busy && q.op != nil {
+				v.s.server.engine.Gone(q.op)
+				q.op = nil
+			}
+		}
+	}
+	return v.base
+}
+
+// leave ends a ring whose client is gone: what it asked for is given up, and nothing of its memory is touched
+// afterwards.
+func (v *vring) leave() {
+	if r := v.run; r != nil {
+		r.mu.Lock()
+		r.gone = true
+		r.mu.Unlock()
+		v.stop()
+	}
+	if v.kick != nil {
+		v.kick.Close()
+		v.kick = nil
+	}
+}
+
+func (r *running) nudge() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ---- taking ----
+
+func (r *running) take() {
+	defer close(r.taker)
+	debug.SetPanicOnFault(true)
+	v := r.v
+	var word [8]byte
+	for first := true; ; first = false {
+		if !(first && v.started) {
+			var err error
+			if v.kick != nil {
+				_, err = v.kick.Read(word[:])
+			} else if !pause(r.ctx, 500*time.Microsecond) {
+				err = r.ctx.Err()
+			}
+			if r.ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				v.s.fail(fmt.Errorf("queue %d: kick: %w", v.index, err))
+				return
+			}
+			v.started = true
+		}
+		for more := true; more; {
+			for {
+				if v.s.draining.Load() { // nothing more is taken in this gateway's life
+					<-r.ctx.Done()
+					return
+				}
+				got, err := r.next()
+				if err != nil {
+					if r.ctx.Err() == nil {
+						v.s.signal(&v.errFD)
+						v.s.fail(fmt.Errorf("queue %d: %w", v.index, err))
+					}
+					return
+				}
+				if !got {
+					break
+				}
+			}
+			var err error
+			if more, err = r.askForKick(); err != nil && r.ctx.Err() == nil {
+				v.s.fail(fmt.Errorf("queue %d: %w", v.index, err))
+			}
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (r *running) askForKick() (more bool, err error) {
+	defer fault(&err)
+	if err := r.v.s.touch(); err != nil {
+		return false, err
+	}
+	defer r.v.s.memMu.RUnlock()
+	return r.q.askForKick()
+}
+
+// next takes one request off the ring and hands it over; false where none waits.
+func (r *running) next() (got bool, err error) {
+	head, p, err := r.peek()
+	if err != nil || !p.some {
+		return false, err
+	}
+	if p.done || p.id {
+		r.own(head, nil, false)
+		r.answerNow(head, p)
+		return true, nil
+	}
+	s := r.v.s
+	op := engine.NewOp()
+	op.Volume, op.Kind, op.Offset, op.Len, op.Front, op.Tag = s.dev.index, p.kind, p.offset, p.len, r, uint64(head)
+	op.Durable = p.kind.Changes() && s.features&featFlush == 0 // a client that cannot flush is promised stable storage
+	if p.kind == block.Read || p.kind == block.Write {
+		// The bound on a volume's buffers: taking waits, and the client's ring fills up behind it.
+		memory := s.server.engine.Memory(s.dev.index)
+		if err := memory.Acquire(r.ctx, op.Len); err != nil {
+			op.Release()
+			op.Release()
+			return false, err
+		}
+		op.Buffer = block.NewBuffer(op.Len, memory.Release)
+	}
+	if p.kind == block.Write {
+		if err := r.copyOut(op.Buffer.B); err != nil {
+			op.Release()
+			op.Release()
+			return false, err
+		}
+	}
+	r.own(head, op, p.advice)
+	s.server.engine.Take(op)
+	return true, nil
+}
+
+// own notes that a chain is ours until it is answered, and counts it as taken.
+func (r *running) own(head uint16, op *engine.Op, advice bool) {
+	r.mu.Lock()
+	q := &r.requests[head]
+	q.op, q.head, q.busy, q.advice = op, head, true, advice
+	q.in, q.inLen = append(q.in[:0], r.buf.in...), r.buf.inLen
+	r.out++
+	r.mu.Unlock()
+	r.q.lastAvail++
+}
+
+type peeked struct {
+	parsed
+	some bool
+}
+
+// peek reads the next request without taking it.
+func (r *running) peek() (head uint16, p peeked, err error) {
+	defer fault(&err)
+	s := r.v.s
+	if err := s.touch(); err != nil {
+		return 0, p, err
+	}
+	defer s.memMu.RUnlock()
+	n, err := r.q.waiting()
+	if err != nil || n == 0 {
+		return 0, p, err
+	}
+	if head, err = r.q.head(); err != nil {
+		return 0, p, err
+	}
+	r.mu.Lock()
+	busy := r.requests[head].busy
+	r.mu.Unlock()
+	if busy {
+		return 0, p, fmt.Errorf("descriptor %d is published again before it was answered", head)
+	}
+	if err = r.q.read(&s.memory, head, &r.buf); err != nil {
+		return 0, p, err
+	}
+	p.some = true
+	p.parsed, err = s.dev.parse(&s.memory, &r.buf)
+	return head, p, err
+}
+
+func (r *running) copyOut(dst []byte) (err error) {
+	defer fault(&err)
+	s := r.v.s
+	if err := s.touch(); err != nil {
+		return err
+	}
+	defer s.memMu.RUnlock()
+	return s.memory.copyOut(dst, r.buf.out, blkHeader)
+}
+
+// answerNow answers what needs no node.
+func (r *running) answerNow(head uint16, p peeked) {
+	op := engine.NewOp() // carries status and head to the answering goroutine; the engine never sees it
+	op.Tag = uint64(head) | uint64(p.status)<<40
+	if p.id {
+		op.Tag |= 1 << 33
+	}
+	r.mu.Lock()
+	r.done = append(r.done, op)
+	r.mu.Unlock()
+	r.nudge()
+}
+
+// ---- answering ----
+
+// Done implements [engine.Front].
+func (r *running) Done(op *engine.Op) {
+	r.mu.Lock()
+	if q := &r.requests[uint16(op.Tag)]; r.gone || !q.busy || q.op != op {
+		r.mu.Unlock()
+		return // Gone passes the hold on
+	} else {
+		q.op = nil
+	}
+	r.done = append(r.done, op)
+	r.mu.Unlock()
+	r.nudge()
+}
+
+func (r *running) answer() {
+	defer close(r.writer)
+	debug.SetPanicOnFault(true)
+	var batch []*engine.Op
+	for {
+		r.mu.Lock()
+		batch, r.done = r.done, batch[:0]
+		over := len(batch) == 0 && (r.stopping && r.out == 0 || r.gone)
+		r.mu.Unlock()
+		if over {
+			return
+		}
+		if len(batch) == 0 {
+			<-r.wake
+			continue
+		}
+		call, err := r.writeAll(batch)
+		for i, op := range batch {
+			if op.Front == nil {
+				op.Release() // one of ours, which the engine never held
+			}
+			op.Release()
+			batch[i] = nil
+		}
+		if err != nil {
+			// No answer can reach this client any more.
+			r.mu.Lock()
+			r.gone = true
+			r.mu.Unlock()
+			r.v.s.fail(fmt.Errorf("queue %d: %w", r.v.index, err))
+			continue
+		}
+		if call {
+			r.v.s.signal(&r.v.call)
+		}
+	}
+}
+
+// writeAll writes answers and publishes them together.
+func (r *running) writeAll(batch []*engine.Op) (call bool, err error) {
+	defer fault(&err)
+	s := r.v.s
+	if err := s.touch(); err != nil {
+		return false, err
+	}
+	defer s.memMu.RUnlock()
+	for _, op := range batch {
+		head := uint16(op.Tag)
+		r.mu.Lock()
+		q := &r.requests[head]
+		gone := r.gone
+		r.mu.Unlock()
+		if gone {
+			return false, nil
+		}
+		n, err := r.writeOne(&s.memory, q, op)
+		if err != nil {
+			return false, err
+		}
+		r.q.put(head, n)
+		r.mu.Lock()
+		q.busy, q.op = false, nil
+		r.out--
+		r.mu.Unlock()
+	}
+	return r.q.publish(), nil
+}
+
+// writeOne writes an answer; n is how many bytes from the first writable one on it has written.
+func (r *running) writeOne(m *memory, q *request, op *engine.Op) (n uint32, err error) {
+	status, room := uint8(statusOK), q.inLen-1
+	all := uint32(min(q.inLen, 1<<32-1))
+	at := uint64(0) // bytes written or cleared so far
+	if op.Front == nil {
+		// Answered without a node. A length that cannot be served is not cleared either: it may be the same page
+		// a thousand times over.
+		status = uint8(op.Tag >> 40)
+		if op.Tag>>33&1 != 0 {
+			var id [idLen]byte
+			copy(id[:], r.v.s.dev.Serial)
+			if err := m.copyIn(q.in, 0, id[:]); err != nil {
+				return 0, err
+			}
+			at = idLen
+		}
+		if room-at <= uint64(r.v.s.dev.mostBytes) {
+			err = m.zero(q.in, at, room-at)
+		} else {
+			all = uint32(at)
+		}
+	} else {
+		if op.Verdict != block.Served {
+			status = statusIOErr
+		}
+		switch {
+		case op.Kind != block.Read:
+			if room <= uint64(r.v.s.dev.mostBytes) {
+				err = m.zero(q.in, 0, room) // none but for the advice, as a rule
+			} else {
+				all = 0
+			}
+		case status == statusOK:
+			op.Each(func(at int64, data []byte) {
+				if err == nil {
+					err = m.copyIn(q.in, uint64(at), data)
+				}
+			})
+		default:
+			err = m.zero(q.in, 0, uint64(op.Len))
+		}
+		if err == nil && q.advice {
+			b := advise(op)
+			err = m.copyIn(q.in, room-AdviceLen, b[:])
+		}
+	}
+	if err != nil {
+		return 0, err
+	}
+	return all, m.copyIn(q.in, room, []byte{status})
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,204 @@
+// Package gateway puts a gateway together: fronts, engine, nodes and directory, and their lives.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"appleplank/internal/block"
+	"appleplank/internal/engine"
+	"appleplank/internal/front/ring"
+	"appleplank/internal/nvme"
+	"appleplank/internal/nvme/initiator"
+	"appleplank/internal/settings"
+	"appleplank/logic"
+	"appleplank/members"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// Gateway is one running gateway.
+type Gateway struct {
+	cfg    *settings.Config
+	log    *zap.Logger
+	Engine *engine.Engine
+	Rings  *ring.Server
+	nodes  map[logic.NodeID]*initiator.Node
+	order  []logic.NodeID
+	direct *initiator.Discovery
+
+	mu      sync.Mutex
+	members *members.Members
+}
+
+// New makes a gateway and opens its sockets, so that what is wrong with them is told at once.
+func New(cfg *settings.Config, log *zap.Logger) (*Gateway, error) {
+	var seed [24]byte
+	rand.Read(seed[:])
+	le := binary.LittleEndian
+	e, err := engine.New(cfg, le.Uint64(seed[:]), le.Uint64(seed[8:]), log.Named("engine"))
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{cfg: cfg, log: log, Engine: e, nodes: map[logic.NodeID]*initiator.Node{}}
+	var known []members.Known
+	for _, n := range cfg.Nodes {
+		known = append(known, members.Known{ID: n.ID, NQN: n.NQN, Address: n.Address, Zone: n.Zone, Cell: n.Cell, Rating: n.Rating})
+	}
+	g.members = members.New(known, cfg.Directory.Address != "")
+	// The host's names are stable over restarts, so that nodes know it again.
+	hostNQN := "nqn.2026-12.example.appleplank:" + cfg.Name
+	var hostID [16]byte
+	copy(hostID[:], fmt.Sprintf("%-16s", cfg.Name))
+	us := func(t logic.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
+	for i, n := range cfg.Nodes {
+		var namespaces []uint32
+		for _, v := range cfg.Volumes {
+			for _, x := range v.Extents {
+				if x.Cell == n.Cell && !slices.Contains(namespaces, x.Namespace) {
+					namespaces = append(namespaces, x.Namespace)
+				}
+			}
+		}
+		g.nodes[n.ID] = initiator.NewNode(initiator.Config{
+			ID: n.ID, NQN: n.NQN, HostNQN: hostNQN, HostID: hostID, Namespaces: namespaces,
+			Depth: cfg.Bounds.Depth, Queues: cfg.Bounds.IOQueues, Digests: cfg.Bounds.Digests,
+			Connect: us(cfg.Times.Connect), KeepAlive: us(cfg.Times.KeepAlive), Seed: le.Uint64(seed[16:]) + uint64(i),
+			Now: e.Now, Log: log.Named("node").With(zap.Uint32("node", uint32(n.ID))),
+			Address: func() string { return g.address(n.ID) },
+		}, e, g)
+		g.order = append(g.order, n.ID)
+	}
+	if cfg.Directory.Address != "" {
+		g.direct = &initiator.Discovery{
+			Address: cfg.Directory.Address, HostNQN: hostNQN, HostID: hostID, Connect: us(cfg.Times.Connect),
+			Every: us(cfg.Directory.Every), Seed: le.Uint64(seed[:]), Now: e.Now, Log: log.Named("directory"),
+			Listed: g.listed,
+		}
+	}
+	e.SetBack(g)
+	if g.Rings, err = ring.Listen(cfg, e, log.Named("ring")); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+// Run serves until ctx ends, then drains: nothing new is taken, everything held is answered, within the settings'
+// time. Once hard ends it returns without waiting for that. Nothing of the gateway is left when it returns.
+func (g *Gateway) Run(ctx, hard context.Context) error {
+	back, stopBack := context.WithCancel(hard)
+	defer stopBack()
+	var nodes errgroup.Group
+	for _, id := range g.order {
+		nodes.Go(func() error { return g.nodes[id].Run(back) })
+	}
+	if g.direct != nil {
+		nodes.Go(func() error { return g.direct.Run(back) })
+	}
+	g.news(func(*members.Members) {})
+	front, stopFront := context.WithCancel(hard)
+	defer stopFront()
+	var rings errgroup.Group
+	rings.Go(func() error { return g.Rings.Serve(front) })
+	<-ctx.Done()
+	g.log.Info("draining")
+	g.Rings.StopTaking()
+	drain, cancel := context.WithTimeout(hard, time.Duration(g.cfg.Times.Drain)*time.Microsecond)
+	err := g.Engine.Drained(drain)
+	cancel()
+	if t := g.Engine.Tally(); err != nil {
+		err = fmt.Errorf("stopped with %d requests held: %w", t.Ops, err)
+	} else {
+		g.log.Info("drained")
+		pause(hard, 20*time.Millisecond) // for answers on their way to the clients' rings
+	}
+	stopFront()
+	rings.Wait()
+	stopBack()
+	nodes.Wait()
+	g.Engine.Close()
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Start implements [block.Back].
+func (g *Gateway) Start(a *block.Attempt) { g.nodes[a.Node].Start(a) }
+
+// Drop implements [block.Back].
+func (g *Gateway) Drop(a *block.Attempt) { g.nodes[a.Node].Drop(a) }
+
+// Node is one of the gateway's nodes, for its counts.
+func (g *Gateway) Node(id logic.NodeID) *initiator.Node { return g.nodes[id] }
+
+func (g *Gateway) address(id logic.NodeID) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Address(id)
+}
+
+// news lets something be learned of the nodes and tells logic what that changes.
+func (g *Gateway) news(learn func(m *members.Members)) {
+	g.mu.Lock()
+	learn(g.members)
+	list := g.members.News(nil)
+	g.mu.Unlock()
+	for _, n := range list {
+		g.log.Info("node", zap.Uint32("node", uint32(n.ID)), zap.String("state", [...]string{"gone", "ready", "draining"}[n.State]))
+	}
+	if len(list) > 0 {
+		g.Engine.Nodes(list)
+		for _, n := range list {
+			g.nodes[n.ID].Kick()
+		}
+	}
+}
+
+func (g *Gateway) listed(session int, d nvme.Discovery) {
+	var entries []members.Entry
+	for _, e := range d.Entries {
+		if e.Transport == nvme.TransportTCP && e.Subsystem == nvme.SubsystemNVM {
+			entries = append(entries, members.Entry{NQN: e.NQN, Address: net.JoinHostPort(e.Address, e.Service)})
+		}
+	}
+	g.news(func(m *members.Members) {
+		if c := m.Listed(session, d.Generation, entries); c != "" {
+			g.log.Warn("directory", zap.String("complaint", c))
+		}
+	})
+}
+
+// Reached implements [initiator.Watcher].
+func (g *Gateway) Reached(id logic.NodeID, age logic.Micros) {
+	g.log.Info("node reached", zap.Uint32("node", uint32(id)), zap.Int64("process_age_us", int64(age)))
+	g.news(func(m *members.Members) { m.Reached(id, g.Engine.Now(), age) })
+}
+
+// Refused implements [initiator.Watcher].
+func (g *Gateway) Refused(id logic.NodeID) {
+	g.news(func(m *members.Members) { m.Refused(id, g.Engine.Now()) })
+}
+
+// Draining implements [initiator.Watcher].
+func (g *Gateway) Draining(id logic.NodeID, is bool) {
+	g.news(func(m *members.Members) { m.Draining(id, is) })
+}
+
+// Lost implements [initiator.Watcher].
+func (g *Gateway) Lost(id logic.NodeID, err error) {
+	g.log.Warn("node lost", zap.Uint32("node", uint32(id)), zap.Error(err))
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,147 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"appleplank/internal/fleet"
+	"appleplank/internal/gateway"
+	"appleplank/internal/settings"
+	"appleplank/internal/standin"
+	"appleplank/logic"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// up starts a fleet and its gateways in this process; stop drains and ends them.
+func up(t testing.TB, shape fleet.Shape) (f *fleet.Fleet, gws []*gateway.Gateway, stop func()) {
+	t.Helper()
+	dir := t.TempDir()
+	f, err := fleet.New(dir, shape)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, shape.Gateways)
+	log := zap.NewNop()
+	if testing.Verbose() && false {
+		log = zaptest.NewLogger(t)
+	}
+	for _, path := range f.Settings {
+		cfg, err := settings.Load(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g, err := gateway.New(cfg, log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		gws = append(gws, g)
+		go func() { done <- g.Run(ctx, context.Background()) }()
+	}
+	for _, g := range gws {
+		for i := range f.Nodes {
+			n := g.Node(logic.NodeID(i + 1))
+			if err := fleet.Eventually(5*time.Second, n.Up); err != nil {
+				t.Fatalf("node %d is not reached: %v", i+1, err)
+			}
+		}
+	}
+	return f, gws, func() {
+		cancel()
+		for range gws {
+			if err := <-done; err != nil {
+				t.Errorf("gateway: %v", err)
+			}
+		}
+		f.Close()
+	}
+}
+
+func one() fleet.Shape {
+	return fleet.Shape{Nodes: 2, Gateways: 1, Node: fleet.Fast(), Head: fleet.Head,
+		Volumes: []fleet.Volume{{Name: "orders", Plan: "priority", Cells: []int{0, 1, 0}, Extent: 4 << 20, Through: []int{0}, Table: "TABLE"}}}
+}
+
+// The whole path, as a driver sees it: what is written is read, over the ends of extents, by every kind of ring; and
+// it lies on the nodes where the settings say.
+func TestWholePath(t *testing.T) {
+	for name, c := range map[string]standin.ClientConfig{
+		"plain":     {Queues: 1, Depth: 4, MostData: 1 << 20},
+		"event idx": {Queues: 2, Depth: 8, MostData: 1 << 20, EventIdx: true, Slots: true},
+		"indirect":  {Queues: 4, Depth: 8, MostData: 1 << 20, EventIdx: true, Indirect: true, Advice: true},
+		"no flush":  {Queues: 1, Depth: 4, MostData: 1 << 20, NoFlush: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, _, stop := up(t, one())
+			defer stop()
+			cl, err := f.Dial(0, "orders", c, time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer cl.Vanish()
+			if cl.Disk.Sectors != 12<<20/512 {
+				t.Errorf("the disk has %d sectors", cl.Disk.Sectors)
+			}
+			do := func(kind uint32, sector uint64, data []byte, size int) []byte {
+				t.Helper()
+				r, err := cl.Do(int(sector)%cl.Config.Queues, kind, sector, data, size)
+				if err != nil || r.Status != 0 {
+					t.Fatalf("request %d at %d: status %d (%v), %v", kind, sector, r.Status, r.Verdict, err)
+				}
+				return r.Data
+			}
+			data := make([]byte, 1<<20)
+			for i := range data {
+				data[i] = byte(i * 7 >> 3)
+			}
+			at := int64(4<<20 - 300*1024) // over the end of the first extent
+			do(1, uint64(at/512), data, len(data))
+			do(4, 0, nil, 0)
+			if got := do(0, uint64(at/512), nil, len(data)); !bytes.Equal(got, data) {
+				t.Error("read differs from what was written")
+			}
+			behind := make([]byte, 512)
+			node, ns, off := f.Where(0, at)
+			if f.Nodes[node].Read(ns, off, behind); !bytes.Equal(behind, data[:512]) {
+				t.Error("the first node does not hold the first bytes")
+			}
+			node, ns, off = f.Where(0, 4<<20)
+			if f.Nodes[node].Read(ns, off, behind); node != 1 || !bytes.Equal(behind, data[300*1024:300*1024+512]) {
+				t.Errorf("node %d does not hold the bytes of the second extent", node)
+			}
+			zero := binary.LittleEndian.AppendUint64(nil, uint64(at/512))
+			zero = binary.LittleEndian.AppendUint32(zero, 8)
+			zero = binary.LittleEndian.AppendUint32(zero, 1)
+			do(13, 0, zero, 16)
+			if got := do(0, uint64(at/512), nil, 8192); !bytes.Equal(got[:4096], make([]byte, 4096)) || !bytes.Equal(got[4096:], data[4096:8192]) {
+				t.Error("write zeroes did not clear what it should, or more")
+			}
+			if r, err := cl.Do(0, 11, 0, zero[:12:12], 12); err != nil || r.Status != 1 {
+				t.Errorf("a discard of 12 bytes: status %d, %v", r.Status, err)
+			}
+			if r, err := cl.Do(0, 99, 0, nil, 0); err != nil || r.Status != 2 {
+				t.Errorf("an unknown request: status %d, %v", r.Status, err)
+			}
+			if r, err := cl.Do(0, 0, cl.Disk.Sectors, nil, 512); err != nil || r.Status != 1 {
+				t.Errorf("a read past the end: status %d, %v", r.Status, err)
+			}
+			if r, err := cl.Do(0, 8, 0, nil, 20); err != nil || r.Status != 0 || string(r.Data[:6]) != "orders" {
+				t.Errorf("id %q, status %d, %v", r.Data, r.Status, err)
+			}
+			if _, err := cl.Stop(); err != nil {
+				t.Error(err)
+			}
+			if cl.Strange() != 0 {
+				t.Errorf("%d answers that belong to nothing", cl.Strange())
+			}
+		})
+	}
+}
--- a/internal/nvme/command.go
+++ b/internal/nvme/command.go
@@ -129,6 +129,9 @@
 	return 0, false, fmt.Errorf("nvme: SGL descriptor %#02x is not used over TCP", c[39])
 }
 
+// FUA is the bit of CDW12 that asks for stable storage before the answer.
+const FUA = 1 << 30
+
 // Blocks sets a Read's, Write's or Write Zeroes' range: first block and how many, 1 to 65536.
 func (c *Command) Blocks(first uint64, n uint32) {
 	c.Set64(10, first)
--- /dev/null
+++ b/internal/nvme/initiator/discovery.go
@@ -0,0 +1,177 @@
+package initiator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"appleplank/internal/nvme"
+	"appleplank/links"
+	"appleplank/logic"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+)
+
+// Discovery follows a discovery controller: it reads the log page when it connects, when told of a change, and at
+// least every so often.
+type Discovery struct {
+	Address string
+	HostNQN string
+	HostID  [16]byte
+	Connect time.Duration
+	Every   time.Duration
+	Seed    uint64
+	Now     func() logic.Micros
+	Log     *zap.Logger
+	// Listed is given each page read, with the number of the connection it came by, from one.
+	Listed func(session int, d nvme.Discovery)
+}
+
+// mostEntries bounds a discovery log page.
+const mostEntries = 4096
+
+// Run follows until ctx ends.
+func (d *Discovery) Run(ctx context.Context) error {
+	link := links.New(0, d.Seed)
+	for n := 1; ; n++ {
+		if !sleep(ctx, time.Duration(link.DialAt()-d.Now())*time.Microsecond, nil) {
+			return nil
+		}
+		err := d.follow(ctx, n, link)
+		if ctx.Err() != nil {
+			return nil
+		}
+		d.Log.Warn("directory lost", zap.String("address", d.Address), zap.Error(err))
+		link.Down(d.Now())
+	}
+}
+
+func (d *Discovery) follow(parent context.Context, session int, link *links.Link) error {
+	g, ctx := errgroup.WithContext(parent)
+	setup, cancel := context.WithTimeoutCause(ctx, d.Connect, fmt.Errorf("not set up within %v", d.Connect))
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(setup, "tcp", d.Address)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	q := newQueue(0, conn, 32, d.Now)
+	q.heard, q.stray = func() {}, func() error { return nil }
+	q.finished = answerBroken
+	limit, _ := setup.Deadline()
+	conn.SetDeadline(limit)
+	if err := q.handshake(false); err != nil {
+		conn.Close()
+		return err
+	}
+	conn.SetDeadline(time.Time{})
+	q.run(ctx, g)
+	g.Go(func() error { return d.listen(ctx, setup, session, q, func() { link.Up(d.Now()) }) })
+	err = g.Wait()
+	conn.Close()
+	q.sweep()
+	return err
+}
+
+func (d *Discovery) listen(ctx, setup context.Context, session int, q *queue, up func()) error {
+	const keepAlive = 2 * time.Minute // the least time between pages is shorter, and each is a sign of life
+	data := nvme.ConnectData{HostID: d.HostID, CNTLID: nvme.CNTLIDAny, SubNQN: nvme.DiscoveryNQN, HostNQN: d.HostNQN}
+	if _, err := q.call(setup, "Connect to the directory", nvme.Connect(0, 32, uint32(keepAlive.Milliseconds())), data.Marshal(), nil); err != nil {
+		return err
+	}
+	if _, err := enable(setup, q); err != nil {
+		return err
+	}
+	page := make([]byte, nvme.IdentifyLen)
+	c := nvme.New(nvme.OpIdentify, 0)
+	c.Set(10, nvme.CNSController)
+	c.Data(nvme.IdentifyLen, false)
+	if _, err := q.call(setup, "Identify the directory", c, nil, page); err != nil {
+		return err
+	}
+	ctl, err := nvme.ParseController(page)
+	if err != nil {
+		return err
+	}
+	events := make(chan reply, 4)
+	if ctl.OAES&nvme.EventDiscovery != 0 {
+		c = nvme.New(nvme.OpSetFeatures, 0)
+		c.Set(10, nvme.FeatAsyncEvent)
+		c.Set(11, nvme.EventDiscovery)
+		if _, err := q.call(setup, "Set Features Async Event", c, nil, nil); err != nil && !isStatus(err) {
+			return err
+		}
+		q.submit(&task{reply: events, parts: []part{{cmd: nvme.New(nvme.OpAsyncEvent, 0)}}})
+	}
+	up()
+	alive := time.NewTicker(keepAlive / 4)
+	defer alive.Stop()
+	for {
+		read, done := context.WithTimeout(ctx, d.Connect)
+		l, err := readDiscovery(read, q)
+		done()
+		if err != nil {
+			return err
+		}
+		d.Listed(session, l)
+		t := time.NewTimer(d.Every)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-t.C:
+		case r := <-events:
+			t.Stop()
+			if r.err != nil {
+				return r.err
+			}
+			q.submit(&task{reply: events, parts: []part{{cmd: nvme.New(nvme.OpAsyncEvent, 0)}}})
+		case <-alive.C:
+			t.Stop()
+			if _, err := q.call(ctx, "Keep Alive", nvme.New(nvme.OpKeepAlive, 0), nil, nil); err != nil && !isStatus(err) {
+				return err
+			}
+		}
+	}
+}
+
+// readDiscovery reads the page until its generation is the same before and after (Base, section 5.16.1.23).
+func readDiscovery(ctx context.Context, q *queue) (l nvme.Discovery, err error) {
+	for range 8 {
+		head := make([]byte, nvme.DiscoveryHeaderLen)
+		get := func(off uint64, b []byte) error {
+			_, err := q.call(ctx, "Get Log Page discovery", nvme.LogPage(nvme.LogDiscovery, 0, off, uint32(len(b)), false), nil, b)
+			return err
+		}
+		if err := get(0, head); err != nil {
+			return l, err
+		}
+		gen, n, err := nvme.ParseDiscoveryHeader(head)
+		if err != nil {
+			return l, err
+		}
+		if n > mostEntries {
+			return l, fmt.Errorf("nvme: the directory names %d nodes, most is %d", n, mostEntries)
+		}
+		whole := make([]byte, nvme.DiscoveryHeaderLen+int(n)*nvme.DiscoveryEntryLen)
+		copy(whole, head)
+		const chunk = 64 << 10
+		for off := nvme.DiscoveryHeaderLen; off < len(whole); off += chunk {
+			if err := get(uint64(off), whole[off:min(off+chunk, len(whole))]); err != nil {
+				return l, err
+			}
+		}
+		if err := get(0, head); err != nil {
+			return l, err
+		}
+		if again, _, err := nvme.ParseDiscoveryHeader(head); err != nil || again != gen {
+			continue
+		}
+		return nvme.ParseDiscovery(whole)
+	}
+	return l, errors.New("nvme: the discovery log page changes faster than it can be read")
+}
