--- /dev/null
+++ b/cmd/appleplank/main.go
@@ -0,0 +1,82 @@
+// Command appleplank is a storage gateway: block clients reach it by vhost-user rings, it reaches storage nodes by
+// NVMe over TCP, and package logic decides what is sent when.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use: "appleplank", Short: "A storage gateway that schedules a host's reads and writes across a shared pool",
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	level := root.PersistentFlags().String("log", "info", "least level of what is logged: debug, info, warn, error")
+	format := root.PersistentFlags().String("log-format", "text", "text or json")
+	logger := func() (*zap.Logger, error) { return newLogger(*level, *format) }
+	root.AddCommand(serveCommand(logger), checkCommand(), nodeCommand(logger), directoryCommand(logger), demoCommand())
+	if err := root.Execute(); err != nil {
+		var quiet exitCode
+		if errors.As(err, &quiet) {
+			os.Exit(int(quiet))
+		}
+		for _, line := range strings.Split(err.Error(), "\n") {
+			fmt.Fprintln(os.Stderr, "appleplank:", line)
+		}
+		os.Exit(1)
+	}
+}
+
+// exitCode is an error that was told already.
+type exitCode int
+
+func (e exitCode) Error() string { return fmt.Sprintf("exit status %d", int(e)) }
+
+func newLogger(level, format string) (*zap.Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level, cfg.DisableStacktrace, cfg.DisableCaller = zap.NewAtomicLevelAt(l), true, true
+	cfg.OutputPaths = []string{"stderr"}
+	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	switch format {
+	case "json":
+	case "text":
+		cfg.Encoding = "console"
+		cfg.EncoderConfig.EncodeLevel = zapcore.CapitalLevelEncoder
+	default:
+		return nil, fmt.Errorf("--log-format is %q, want text or json", format)
+	}
+	return cfg.Build()
+}
+
+// untilSignal gives a context that ends with the first SIGTERM or interrupt, and one that ends with the second.
+func untilSignal() (first, second context.Context, stop func()) {
+	first, cancelFirst := context.WithCancel(context.Background())
+	second, cancelSecond := context.WithCancel(context.Background())
+	ch := make(chan os.Signal, 2)
+	signal.Notify(ch, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		for _, cancel := range []func(){cancelFirst, cancelSecond} {
+			select {
+			case <-ch:
+				cancel()
+			case <-second.Done():
+				return
+			}
+		}
+	}()
+	return first, second, func() { signal.Stop(ch); cancelFirst(); cancelSecond() }
+}
--- /dev/null
+++ b/cmd/appleplank/serve.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"os"
+
+	"appleplank/internal/gateway"
+	"appleplank/internal/settings"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+)
+
+func serveCommand(logger func() (*zap.Logger, error)) *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use: "serve -c FILE", Short: "Run the gateway", Args: cobra.NoArgs,
+		Long: "Run the gateway. SIGTERM drains it: nothing new is taken, all it holds is answered, and it exits with status 0\n" +
+			"within the drain time of the settings. A second SIGTERM exits at once, with status 1.",
+		RunE: func(*cobra.Command, []string) error {
+			log, err := logger()
+			if err != nil {
+				return err
+			}
+			defer log.Sync()
+			cfg, err := settings.Load(path)
+			if err != nil {
+				return err
+			}
+			g, err := gateway.New(cfg, log)
+			if err != nil {
+				return err
+			}
+			first, second, stop := untilSignal()
+			defer stop()
+			log.Info("serving", zap.String("gateway", cfg.Name), zap.Int("pid", os.Getpid()), zap.Int("volumes", len(cfg.Volumes)),
+				zap.Int("nodes", len(cfg.Nodes)))
+			return g.Run(first, second)
+		},
+	}
+	c.Flags().StringVarP(&path, "config", "c", "", "settings script")
+	c.MarkFlagRequired("config")
+	return c
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -190,7 +190,7 @@
 		}
 	}
 	if e.cold {
-		if t := &e.core.tally; t.Ops == 0 && t.Attempts == 0 {
+		if e.core.tally.Ops == 0 { // attempts without an answer that nobody waits for end with their connections
 			e.cold = false
 			close(e.idle)
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -126,10 +126,14 @@
 	return b.String()
 }
 
-func (f *Fleet) socketName(g int, volume string) string { return fmt.Sprintf("gw%d-%s.sock", g, volume) }
+func (f *Fleet) socketName(g int, volume string) string {
+	return fmt.Sprintf("gw%d-%s.sock", g, volume)
+}
 
 // Socket is the path of a volume's socket at a gateway.
-func (f *Fleet) Socket(g int, volume string) string { return filepath.Join(f.Dir, f.socketName(g, volume)) }
+func (f *Fleet) Socket(g int, volume string) string {
+	return filepath.Join(f.Dir, f.socketName(g, volume))
+}
 
 // Dial connects a client to a volume, waiting a while for the socket to be there.
 func (f *Fleet) Dial(g int, volume string, cfg standin.ClientConfig, wait time.Duration) (*standin.Client, error) {
@@ -193,4 +197,3 @@
 func Fast() standin.NodeConfig {
 	return standin.NodeConfig{WriteCache: true, InCapsule: 8192, Remember: 4 * time.Second}
 }
-
--- a/internal/front/ring/vhost.go
+++ b/internal/front/ring/vhost.go
@@ -154,7 +154,7 @@
 				err = perr
 			}
 		}
-		if err != nil {
+		if err != nil && !errors.Is(err, io.EOF) { // the net package wraps it
 			return err
 		}
 		if flags&unix.MSG_CTRUNC != 0 || len(*fds) > mostFDs {
--- a/internal/settings/values.go
+++ b/internal/script/values.go
@@ -1,4 +1,4 @@
-package settings
+package script
 
 import (
 	"fmt"
@@ -113,8 +113,8 @@
 	})
 }
 
-// units are the words of a script that make quantities.
-func units() starlark.StringDict {
+// Units are the words of a script that make quantities.
+func Units() starlark.StringDict {
 	d := starlark.StringDict{}
 	for name, scale := range map[string]float64{"us": 1, "ms": 1e3, "s": 1e6, "minutes": 60e6} {
 		d[name] = maker(name, duration, scale)
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,11 +17,13 @@
 	now   nvme.Discovery // what the page says
 	late  time.Duration
 	timer []*time.Timer
+	names map[string]bool // every node it has ever named
+	told  []Telling
 }
 
 // NewDirectory listens on a loopback address.
 func NewDirectory(address string) (*Directory, error) {
-	d := &Directory{}
+	d := &Directory{names: map[string]bool{}}
 	d.t = target{nqn: nvme.DiscoveryNQN, log: d.page, admin: func(*conn, *nvme.Command) (nvme.Status, uint32, bool) { return 0, 0, false },
 		identify: func(id uint16) nvme.Controller {
 			return nvme.Controller{Serial: "standin", Model: "appleplank stand-in directory", Firmware: "1", CNTLID: id, Version: 0x20000,
@@ -35,21 +38,39 @@
 // Late makes what is set from now on known so much later.
 func (d *Directory) Late(by time.Duration) { d.mu.Lock(); d.late = by; d.mu.Unlock() }
 
+// Entry is a node as the directory names it.
+type Entry struct{ NQN, Address string }
+
 // Set names the nodes that are there.
 func (d *Directory) Set(nodes ...*Node) {
-	var entries []nvme.DiscoveryEntry
+	var entries []Entry
 	for _, n := range nodes {
-		host, port, _ := net.SplitHostPort(n.Address())
+		entries = append(entries, Entry{n.NQN(), n.Address()})
+	}
+	d.SetEntries(entries)
+}
+
+// SetEntries names nodes by name and address.
+func (d *Directory) SetEntries(list []Entry) error {
+	var entries []nvme.DiscoveryEntry
+	for _, e := range list {
+		host, port, err := net.SplitHostPort(e.Address)
+		if err != nil {
+			return err
+		}
 		entries = append(entries, nvme.DiscoveryEntry{Transport: nvme.TransportTCP, Family: 1, Subsystem: nvme.SubsystemNVM,
-			CNTLID: nvme.CNTLIDAny, AdminSize: 32, Service: port, NQN: n.NQN(), Address: host})
+			CNTLID: nvme.CNTLIDAny, AdminSize: 32, Service: port, NQN: e.NQN, Address: host})
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.late == 0 {
-		go d.publish(entries)
-		return
+	late := d.late
+	if late > 0 {
+		d.timer = append(d.timer, time.AfterFunc(late, func() { d.publish(entries) }))
 	}
-	d.timer = append(d.timer, time.AfterFunc(d.late, func() { d.publish(entries) }))
+	d.mu.Unlock()
+	if late == 0 {
+		d.publish(entries)
+	}
+	return nil
 }
 
 func (d *Directory) publish(entries []nvme.DiscoveryEntry) {
@@ -64,9 +85,27 @@
 	d.t.each(func(c *conn) { go c.notify(notice(0xf0, nvme.LogDiscovery)) })
 }
 
-func (d *Directory) page(id uint8, _ string) ([]byte, bool) {
+// Tellings are what its pages have told of every node it has ever named. A page that names none tells nothing.
+func (d *Directory) Tellings() []Telling {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return slices.Clone(d.told)
+}
+
+func (d *Directory) page(id uint8, host string) ([]byte, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.now.Entries) > 0 && id == nvme.LogDiscovery {
+		ready := map[string]bool{}
+		for _, e := range d.now.Entries {
+			ready[e.NQN] = true
+			d.names[e.NQN] = true
+		}
+		now := time.Now()
+		for nqn := range d.names {
+			d.told = append(d.told, Telling{host, nqn, now, ready[nqn]})
+		}
+	}
 	return d.now.Marshal(), id == nvme.LogDiscovery
 }
 
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -76,6 +76,7 @@
 	seen     map[repeatKey]time.Time
 	meter    map[uint32]*meter
 	records  []Command
+	tellings []Telling
 	reportAt time.Time
 	report   nvme.Report
 	workers  sync.WaitGroup
@@ -249,11 +250,27 @@
 	return ctl
 }
 
-func (n *Node) logPage(id uint8, _ string) ([]byte, bool) {
+// Telling is what a host was told of a node, by the node or by the directory.
+type Telling struct {
+	Host  string
+	NQN   string
+	At    time.Time
+	Ready bool // it takes new work
+}
+
+// Tellings are what the node's ANA log page has told.
+func (n *Node) Tellings() []Telling {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.tellings)
+}
+
+func (n *Node) logPage(id uint8, host string) ([]byte, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	switch {
 	case id == nvme.LogANA:
+		n.tellings = append(n.tellings, Telling{host, n.cfg.NQN, time.Now(), !n.draining})
 		g := nvme.ANAGroup{ID: 1, State: nvme.ANAOptimized}
 		if n.draining {
 			g.State = nvme.ANAIsInaccess
@@ -581,3 +598,16 @@
 	}
 	return n, nil
 }
+
+// Hosts is how many hosts have an admin queue and have read the node's ANA page since it came up.
+func (n *Node) Hosts() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	hosts := map[string]bool{}
+	for _, t := range n.tellings {
+		if t.At.After(n.started) {
+			hosts[t.Host] = true
+		}
+	}
+	return len(hosts)
+}
