--- /dev/null
+++ b/internal/engine/bench_test.go
@@ -0,0 +1,42 @@
+package engine
+
+import (
+	"testing"
+
+	"appleplank/internal/block"
+	"appleplank/logic"
+)
+
+type nobody struct{}
+
+func (nobody) Done(*Op) {}
+
+// BenchmarkCore is a read from Take to its answer without sockets: what deciding and keeping the books costs.
+func BenchmarkCore(b *testing.B) {
+	cfg := config(b, b.TempDir())
+	c, err := NewCore(cfg, 1, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := logic.Micros(1_000_000)
+	c.Nodes([]logic.Node{{ID: 1, Cell: 0, State: logic.Ready}, {ID: 2, Cell: 1, State: logic.Ready}})
+	c.Step(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		op := NewOp()
+		op.Kind, op.Len, op.Front = block.Read, 4096, nobody{}
+		op.Buffer = block.NewBuffer(4096, nil)
+		c.Take(now, op)
+		for _, a := range c.Step(now) {
+			if a.Kind == Start {
+				now += 100
+				c.Ended(now, a.Attempt, block.Result{Outcome: logic.OK, Load: logic.NoLoad})
+			}
+		}
+		for _, a := range c.Step(now) {
+			if a.Kind == Finish {
+				a.Op.Release()
+			}
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -30,6 +30,7 @@
 	inMu sync.Mutex
 	in   []input
 	work []input // under mu
+	left []*Op   // under mu: given up by their fronts in the batch at hand
 	idle chan struct{}
 	cold bool // idle is to be closed when nothing is held
 }
@@ -166,7 +167,7 @@
 				e.core.Take(now, in.op)
 			case gone:
 				e.core.Gone(now, in.op)
-				in.op.Release()
+				e.left = append(e.left, in.op)
 			case ended:
 				e.core.Ended(now, in.attempt, in.result)
 			case nodes:
@@ -188,6 +189,12 @@
 				e.log.Info(a.Text)
 			}
 		}
+		// Only now: an answer may have been on its way to a front that had given its request up.
+		for i, op := range e.left {
+			op.Release()
+			e.left[i] = nil
+		}
+		e.left = e.left[:0]
 	}
 	if e.cold {
 		if e.core.tally.Ops == 0 { // attempts without an answer that nobody waits for end with their connections
--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,152 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"appleplank/internal/block"
+	"appleplank/internal/nvme/initiator"
+	"appleplank/internal/standin"
+	"appleplank/logic"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+)
+
+// direct is the same initiator at the same node, without rings and decisions.
+type direct struct {
+	*initiator.Node
+	mu   sync.Mutex
+	done map[*block.Attempt]chan logic.Outcome
+}
+
+func (d *direct) AttemptEnded(a *block.Attempt, r block.Result) {
+	a.Owner.(chan logic.Outcome) <- r.Outcome
+}
+func (d *direct) Reached(logic.NodeID, logic.Micros) {}
+func (d *direct) Refused(logic.NodeID)               {}
+func (d *direct) Draining(logic.NodeID, bool)        {}
+func (d *direct) Lost(logic.NodeID, error)           {}
+
+// load runs n operations over depth goroutines and notes how long each took.
+func load(n, depth int, h *hdrhistogram.Histogram, op func(worker int) error) (time.Duration, error) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	start := time.Now()
+	for w := range depth {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := w; i < n; i += depth {
+				t := time.Now()
+				err := op(w)
+				took := time.Since(t)
+				mu.Lock()
+				if err != nil {
+					failed = err
+				}
+				h.RecordValue(took.Nanoseconds())
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	return time.Since(start), failed
+}
+
+// BenchmarkPath measures a read from ring to node and back against the same NVMe/TCP client at the same node, by turns
+// in one run. The ratio is of times a request; under 1 the ring is faster. At depth 32 logic's window of a few requests
+// a node bounds what is out, so the client at the node is also measured at the depth that the window allows.
+func BenchmarkPath(b *testing.B) {
+	for _, size := range []int{4 << 10, 128 << 10} {
+		for _, depth := range []int{1, 2, 32} {
+			b.Run(fmt.Sprintf("%dKiB/depth%d", size>>10, depth), func(b *testing.B) {
+				s := one()
+				s.Nodes = 1
+				s.Volumes[0].Cells = []int{0}
+				f, _, stop := up(b, s)
+				defer stop()
+				cl, err := f.Dial(0, "orders", standin.ClientConfig{Queues: 1, Depth: depth, MostData: size, EventIdx: true}, time.Second)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer cl.Vanish()
+				d := &direct{}
+				start := time.Now()
+				d.Node = initiator.NewNode(initiator.Config{ID: 1, NQN: f.Nodes[0].NQN(), HostNQN: "nqn.direct", Namespaces: []uint32{1},
+					Depth: 64, Queues: 2, Connect: time.Second, KeepAlive: 10 * time.Second, Log: zap.NewNop(), Address: f.Nodes[0].Address,
+					Now: func() logic.Micros { return logic.Micros(time.Since(start).Microseconds()) + 1 }}, d, d)
+				ctx, cancel := context.WithCancel(context.Background())
+				ended := make(chan struct{})
+				go func() { d.Run(ctx); close(ended) }()
+				defer func() { cancel(); <-ended }()
+				for !d.Up() {
+					time.Sleep(time.Millisecond)
+				}
+				attempts := make([]*block.Attempt, depth)
+				for i := range attempts {
+					attempts[i] = &block.Attempt{Kind: block.Read, Namespace: 1, Len: int64(size), Buffer: block.NewBuffer(int64(size), nil), Owner: make(chan logic.Outcome, 1)}
+				}
+				byNode := func(w int) error {
+					d.Start(attempts[w])
+					if o := <-attempts[w].Owner.(chan logic.Outcome); o != logic.OK {
+						return fmt.Errorf("outcome %d", o)
+					}
+					return nil
+				}
+				chans := make([]chan uint8, depth)
+				for i := range chans {
+					chans[i] = make(chan uint8, 1)
+				}
+				byRing := func(w int) error {
+					if err := cl.Submit(0, 0, 0, nil, size, func(r standin.Reply) { chans[w] <- r.Status }); err != nil {
+						return err
+					}
+					if st := <-chans[w]; st != 0 {
+						return fmt.Errorf("status %d", st)
+					}
+					return nil
+				}
+				hn, hr := hdrhistogram.New(1, 1e10, 3), hdrhistogram.New(1, 1e10, 3)
+				var tn, tr time.Duration
+				var mn, mr, m0, m1 runtime.MemStats
+				const turn = 500
+				warm := hdrhistogram.New(1, 1e10, 3)
+				load(200, depth, warm, byNode)
+				load(200, depth, warm, byRing)
+				n := 0
+				b.ResetTimer()
+				for n < b.N {
+					k := min(turn, b.N-n)
+					n += k
+					runtime.ReadMemStats(&m0)
+					t, err := load(k, depth, hn, byNode)
+					if err != nil {
+						b.Fatal(err)
+					}
+					tn += t
+					runtime.ReadMemStats(&m1)
+					mn.Mallocs += m1.Mallocs - m0.Mallocs
+					if t, err = load(k, depth, hr, byRing); err != nil {
+						b.Fatal(err)
+					}
+					tr += t
+					runtime.ReadMemStats(&m0)
+					mr.Mallocs += m0.Mallocs - m1.Mallocs
+				}
+				b.ReportMetric(float64(tr)/float64(tn), "ratio")
+				b.ReportMetric(float64(hn.ValueAtQuantile(50))/1e3, "node-p50-us")
+				b.ReportMetric(float64(hr.ValueAtQuantile(50))/1e3, "ring-p50-us")
+				b.ReportMetric(float64(hn.ValueAtQuantile(99))/1e3, "node-p99-us")
+				b.ReportMetric(float64(hr.ValueAtQuantile(99))/1e3, "ring-p99-us")
+				b.ReportMetric(float64(mr.Mallocs)/float64(n)-float64(mn.Mallocs)/float64(n), "more-allocs/op")
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/count_test.go
@@ -0,0 +1,243 @@
+package gateway_test
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"appleplank/internal/block"
+	"appleplank/internal/fleet"
+	"appleplank/internal/standin"
+)
+
+var countRequests = flag.Int("requests", 20_000, "requests of the counting test")
+
+// counter is one client program of the counting test. It owns blocks that nobody else touches, and has at most one
+// request out at each, so it always knows what a read may give.
+type counter struct {
+	t       *testing.T
+	f       *fleet.Fleet
+	first   int64 // its blocks
+	blocks  []blockState
+	rng     *rand.Rand
+	token   *atomic.Uint64
+	asked   *atomic.Int64
+	most    int64
+	answers [3]int
+	left    int
+	reads   int
+	bad     string
+}
+
+const blockSize = 4096
+
+// blockState is what a block may hold: one of some marks.
+type blockState struct {
+	may  []uint64
+	busy bool
+}
+
+// run asks with a client after another, each of which vanishes in the middle of what it does.
+func (c *counter) run() {
+	for c.asked.Load() < c.most && c.bad == "" {
+		cl, err := c.f.Dial(0, "orders", standin.ClientConfig{Queues: 2, Depth: 16, MostData: blockSize, EventIdx: c.rng.IntN(2) == 0,
+			Indirect: c.rng.IntN(2) == 0, Advice: c.rng.IntN(2) == 0}, time.Second)
+		if err != nil {
+			c.bad = err.Error()
+			return
+		}
+		c.life(cl, 200+c.rng.IntN(1500))
+	}
+}
+
+// life is one client's. It holds its books under mu, as answers come from the queues' goroutines.
+func (c *counter) life(cl *standin.Client, requests int) {
+	var mu sync.Mutex
+	out := map[int]func(){} // what it means for a block that its request was never answered
+	fail := func(format string, a ...any) {
+		if c.bad == "" {
+			c.bad = fmt.Sprintf(format, a...)
+		}
+	}
+	for range requests {
+		mu.Lock()
+		b := c.rng.IntN(len(c.blocks))
+		for tries := 0; c.blocks[b].busy; tries++ {
+			if b = (b + 1) % len(c.blocks); tries%len(c.blocks) == len(c.blocks)-1 {
+				mu.Unlock()
+				time.Sleep(100 * time.Microsecond)
+				mu.Lock()
+			}
+		}
+		s := &c.blocks[b]
+		s.busy = true
+		write := c.rng.IntN(2) == 0
+		mark := uint64(0)
+		var data []byte
+		kind := uint32(0)
+		if write {
+			mark, kind, data = c.token.Add(1), 1, make([]byte, blockSize)
+			for at := 0; at < blockSize; at += 8 {
+				binary.LittleEndian.PutUint64(data[at:], mark)
+			}
+			out[b] = func() { s.may = append(s.may, mark) }
+		} else {
+			out[b] = func() {}
+		}
+		c.asked.Add(1)
+		mu.Unlock()
+		err := cl.Submit(b&1, kind, uint64(c.first+int64(b))*blockSize/512, data, blockSize, func(r standin.Reply) {
+			mu.Lock()
+			defer mu.Unlock()
+			if out[b] == nil {
+				fail("block %d: an answer to a request that was answered", b)
+				return
+			}
+			delete(out, b)
+			s.busy = false
+			if (r.Status == 0) != (r.Verdict == block.Served) {
+				fail("status %d goes with %v", r.Status, r.Verdict)
+			}
+			c.answers[r.Verdict]++
+			switch {
+			case write && r.Verdict == block.Served:
+				s.may = append(s.may[:0], mark)
+			case write: // refused may have run, as the class is safe to repeat, and failed promises nothing
+				s.may = append(s.may, mark)
+			case r.Verdict == block.Served:
+				c.reads++
+				got := binary.LittleEndian.Uint64(r.Data)
+				known := false
+				for _, m := range s.may {
+					known = known || m == got
+				}
+				if !known {
+					fail("block %d holds mark %d, may hold %v", b, got, s.may)
+				}
+				for at := 0; at < blockSize; at += 8 {
+					if x := binary.LittleEndian.Uint64(r.Data[at:]); x != got {
+						fail("block %d holds mark %d at byte %d and %d at its start", b, x, at, got)
+						break
+					}
+				}
+			}
+		})
+		if err != nil {
+			fail("the gateway closed a client that did nothing wrong: %v", err)
+			break
+		}
+	}
+	// One in three waits for its answers, so that lost ones show; the others leave at once.
+	if c.rng.IntN(3) == 0 {
+		err := fleet.Eventually(20*time.Second, func() bool { mu.Lock(); defer mu.Unlock(); return len(out) == 0 })
+		mu.Lock()
+		if err != nil {
+			fail("%d requests were never answered", len(out))
+		}
+		mu.Unlock()
+	}
+	cl.Vanish()
+	if n := cl.Strange(); n > 0 {
+		fail("%d answers that belong to nothing", n)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	c.left += len(out)
+	for b, gone := range out {
+		gone()
+		c.blocks[b].busy = false
+	}
+}
+
+// No answer is lost, none doubled, and every byte read is what was written last, over many requests of clients that
+// vanish, with nodes that answer twice, lose answers, break connections and fail.
+func TestCounting(t *testing.T) {
+	s := one()
+	s.Nodes = 3
+	s.Volumes[0].Cells = []int{0, 1, 2, 0, 1, 2}
+	s.Volumes[0].Extent = 1 << 20
+	s.More = "rules(order_pause = ms(50))\ntimes(keep_alive = s(2))\n"
+	f, gws, stop := up(t, s)
+	stopped := make(chan struct{})
+	var troubles sync.WaitGroup
+	troubles.Add(1)
+	go func() {
+		defer troubles.Done()
+		rng := rand.New(rand.NewPCG(5, 5))
+		for {
+			select {
+			case <-stopped:
+				return
+			case <-time.After(40 * time.Millisecond):
+			}
+			n := f.Nodes[rng.IntN(3)]
+			switch rng.IntN(6) {
+			case 0:
+				n.Reset()
+			case 1:
+				n.Set(func(t *standin.Trouble) { t.Twice = 0.02 })
+			case 2:
+				n.Set(func(t *standin.Trouble) { t.Fail = 0.05 })
+			case 3:
+				n.Set(func(t *standin.Trouble) { t.Lose = 0.0005; t.Wrong = 0.0005 })
+			default:
+				n.Set(func(t *standin.Trouble) { *t = standin.Trouble{} })
+			}
+		}
+	}()
+	var wg sync.WaitGroup
+	var token atomic.Uint64
+	var asked atomic.Int64
+	const clients = 6
+	var all []*counter
+	for i := range clients {
+		c := &counter{t: t, f: f, first: int64(i) * 256, blocks: make([]blockState, 256), rng: rand.New(rand.NewPCG(9, uint64(i))),
+			token: &token, asked: &asked, most: int64(*countRequests)}
+		for b := range c.blocks {
+			c.blocks[b].may = []uint64{0}
+		}
+		all = append(all, c)
+		wg.Add(1)
+		go func() { defer wg.Done(); c.run() }()
+	}
+	wg.Wait()
+	close(stopped)
+	troubles.Wait()
+	for _, n := range f.Nodes {
+		n.Set(func(t *standin.Trouble) { *t = standin.Trouble{} })
+	}
+	var answers [3]int
+	left, reads := 0, 0
+	for i, c := range all {
+		if c.bad != "" {
+			t.Errorf("client program %d: %s", i, c.bad)
+		}
+		for v, n := range c.answers {
+			answers[v] += n
+		}
+		left, reads = left+c.left, reads+c.reads
+	}
+	if got := answers[0] + answers[1] + answers[2] + left; int64(got) != asked.Load() && !t.Failed() {
+		t.Errorf("%d requests were asked, %d came to an end", asked.Load(), got)
+	}
+	// Nothing leaks: once all clients are gone every request and buffer is let go of.
+	if err := fleet.Eventually(10*time.Second, func() bool { x := gws[0].Engine.Tally(); return x.Ops == 0 && x.Pieces == 0 && x.Out == 0 }); err != nil {
+		t.Errorf("still held: %+v", gws[0].Engine.Tally())
+	}
+	tally := gws[0].Engine.Tally()
+	stop()
+	if err := fleet.Eventually(time.Second, func() bool { return gws[0].Engine.Tally().Attempts == 0 }); err != nil {
+		t.Errorf("attempts outlive the gateway: %+v", gws[0].Engine.Tally())
+	}
+	m := gws[0].Engine.Memory(0)
+	if whole := int64(256 << 20); !m.TryAcquire(whole) {
+		t.Error("buffers outlive the gateway")
+	}
+	t.Logf("%d asked: %d served (%d reads compared), %d refused, %d failed, %d whose client left; %d sends, %d of them repeats, %d late ends, outcomes %v",
+		asked.Load(), answers[0], reads, answers[1], answers[2], left, tally.Sends, tally.Repeats, tally.LateEnds, tally.Outcomes)
+}
--- a/internal/nvme/initiator/node.go
+++ b/internal/nvme/initiator/node.go
@@ -568,7 +568,7 @@
 	}
 	// A place may be taken between the look and the choice; then the next fullest is tried.
 	for range s.queues {
-		i := links.Pick(out[:len(s.queues)], s.depth-len(t.parts)+1)
+		i := links.Pick(out[:len(s.queues)], s.depth)
 		if i < 0 {
 			break
 		}
--- a/internal/nvme/initiator/queue.go
+++ b/internal/nvme/initiator/queue.go
@@ -22,7 +22,8 @@
 	buffer  *block.Buffer  // held while any part is out
 	parts   []part
 	q       *queue
-	left    int
+	left    int  // parts that have not ended
+	next    int  // first part that has no place yet
 	begun   bool // logic.Outcome of a part is in outcome
 	outcome logic.Outcome
 	report  nvme.Report
@@ -152,34 +153,44 @@
 	return len(q.slots) - q.spare
 }
 
-// submit queues all parts of a task, or none: false where the queue is dead or has too few places.
+// submit begins a task, with as many of its parts as there are places; the others follow as places are freed. False
+// where the queue is dead or has no place.
 func (q *queue) submit(t *task) bool {
 	q.mu.Lock()
-	if q.dead || q.spare < len(t.parts) {
+	if q.dead || q.spare == 0 {
 		q.mu.Unlock()
 		return false
 	}
-	t.q, t.left = q, len(t.parts)
+	t.q, t.left, t.next = q, len(t.parts), 0
 	t.buffer.Hold()
 	for i := range t.parts {
-		p := &t.parts[i]
-		at := q.free[q.first]
-		q.first = (q.first + 1) % len(q.free)
-		q.spare--
-		s := &q.slots[at]
-		*s = slot{gen: s.gen + 1, busy: true, t: t, part: i}
-		if q.cid(at) == 0xffff {
-			s.gen++
-		}
-		p.slot = at
-		p.cmd.SetCID(q.cid(at))
-		q.items = append(q.items, item{cid: q.cid(at)})
+		t.parts[i].slot = -1
+	}
+	for t.next < len(t.parts) && q.spare > 0 {
+		q.place(t)
 	}
 	q.mu.Unlock()
 	q.nudge()
 	return true
 }
 
+// place gives the next part of a task a free place. The caller holds mu.
+func (q *queue) place(t *task) {
+	at := q.free[q.first]
+	q.first = (q.first + 1) % len(q.free)
+	q.spare--
+	s := &q.slots[at]
+	*s = slot{gen: s.gen + 1, busy: true, t: t, part: t.next}
+	if q.cid(at) == 0xffff {
+		s.gen++
+	}
+	p := &t.parts[t.next]
+	t.next++
+	p.slot = at
+	p.cmd.SetCID(q.cid(at))
+	q.items = append(q.items, item{cid: q.cid(at)})
+}
+
 func (q *queue) nudge() {
 	select {
 	case q.wake <- struct{}{}:
@@ -213,7 +224,18 @@
 	q.free[(q.first+q.spare)%len(q.free)] = p.slot
 	q.spare++
 	p.slot = -1
-	if t.left--; t.left > 0 {
+	t.left--
+	if t.next < len(t.parts) {
+		if o == logic.OK && !t.dropped && !q.dead {
+			q.place(t)
+			q.nudge()
+		} else { // what was not begun never will be
+			t.left -= len(t.parts) - t.next
+			t.next = len(t.parts)
+			t.outcome = join(t.outcome, logic.Moot)
+		}
+	}
+	if t.left > 0 {
 		return nil
 	}
 	return t
@@ -330,6 +352,10 @@
 		q.mu.Unlock()
 		return nil
 	}
+	if it.data && s.t.dropped {
+		q.mu.Unlock()
+		return nil
+	}
 	p := &s.t.parts[s.part]
 	cmd, out := p.cmd, p.out
 	if !it.data {
@@ -345,7 +371,7 @@
 		}
 		return q.w.Capsule(&cmd, out)
 	}
-	for it.length > 0 {
+	for it.length > 0 && !q.droppedNow(it.cid) {
 		n := min(it.length, uint32(q.maxH2CData))
 		flags := uint8(0)
 		if n == it.length {
@@ -359,6 +385,13 @@
 	return nil
 }
 
+func (q *queue) droppedNow(cid uint16) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.find(cid)
+	return s == nil || s.t.dropped
+}
+
 // ---- receiving ----
 
 func (q *queue) read() error {
@@ -478,7 +511,9 @@
 	return nil
 }
 
-// asked takes an R2T (TCP Transport, section 3.6.2.8).
+// asked takes an R2T (TCP Transport, section 3.6.2.8). What was dropped is given no data any more: its request has had
+// its answer, and a write that gets its data now would land on top of later ones, long after the rest of their key.
+// Its identifier stays taken, until the abort is answered or package links gives the connection up.
 func (q *queue) asked(h *nvme.Header) error {
 	cid, tag, off, n := h.Transfer()
 	q.mu.Lock()
@@ -487,6 +522,10 @@
 		q.mu.Unlock()
 		return q.stray()
 	}
+	if s.t.dropped {
+		q.mu.Unlock()
+		return nil
+	}
 	out := s.t.parts[s.part].out
 	s.asked += int(n)
 	if n == 0 || uint64(off)+uint64(n) > uint64(len(out)) || s.asked > len(out) {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -52,6 +52,7 @@
 	Late    time.Duration
 	Deaf    bool // takes connections and never answers
 	Drip    int  // bytes a second it sends; 0: no bound
+	Blind   bool // reads nothing more
 	FlipBit float64
 }
 
@@ -163,9 +164,9 @@
 	if err := n.t.listen(n.cfg.Address); err != nil {
 		return err
 	}
-	n.cfg.Address = n.t.ln.Addr().String()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.cfg.Address = n.t.ln.Addr().String()
 	n.down, n.stop, n.started, n.draining = false, false, time.Now(), false
 	if warm {
 		n.started = time.Now().Add(-n.cfg.ColdTime - time.Hour)
@@ -198,7 +199,7 @@
 func (n *Node) Reset() { n.t.reset() }
 
 // Address is where it listens; valid once it was up.
-func (n *Node) Address() string { return n.cfg.Address }
+func (n *Node) Address() string { n.mu.Lock(); defer n.mu.Unlock(); return n.cfg.Address }
 
 // NQN is its name.
 func (n *Node) NQN() string { return n.cfg.NQN }
@@ -212,6 +213,7 @@
 	change(&n.trouble)
 	n.t.deaf.Store(n.trouble.Deaf)
 	n.t.slow.Store(int64(n.trouble.Drip))
+	n.t.blind.Store(n.trouble.Blind)
 	n.cond.Broadcast()
 	n.mu.Unlock()
 }
@@ -297,7 +299,11 @@
 		return pending, 0, true
 	case nvme.OpSetFeatures:
 		if uint8(cmd.Dword(10)) == nvme.FeatReports && !n.cfg.Plain {
-			c.reports.Store(cmd.Dword(11)&1 != 0)
+			n.t.each(func(q *conn) { // of the whole controller, whichever of its queues came first
+				if q.cntlid == c.cntlid {
+					q.reports.Store(cmd.Dword(11)&1 != 0)
+				}
+			})
 			return nvme.Success, 0, true
 		}
 	case nvme.OpAbort:
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -11,6 +11,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"appleplank/internal/nvme"
 )
@@ -33,6 +34,7 @@
 	wg    sync.WaitGroup
 	slow  atomic.Int64 // bytes a second that are sent; 0: no bound
 	deaf  atomic.Bool  // connections are taken and never answered
+	blind atomic.Bool  // nothing more is read
 }
 
 // conn is one queue's connection.
@@ -128,6 +130,7 @@
 	defer t.mu.Unlock()
 	for c := range t.conns {
 		c.c.Close()
+		delete(t.conns, c)
 	}
 }
 
@@ -161,6 +164,9 @@
 	c.w.Align, c.w.HeaderDigest, c.w.DataDigest = p.Align, hd, dd
 	c.r.HeaderDigest, c.r.DataDigest = hd, dd
 	for {
+		for c.t.blind.Load() && c.live() {
+			time.Sleep(5 * time.Millisecond)
+		}
 		err := c.r.Next(&h)
 		if err == nil {
 			err = c.take(&h)
@@ -177,6 +183,13 @@
 	}
 }
 
+// live tells whether the node has not closed the connection.
+func (c *conn) live() bool {
+	c.t.mu.Lock()
+	defer c.t.mu.Unlock()
+	return c.t.ln != nil && c.t.conns[c]
+}
+
 func (c *conn) take(h *nvme.Header) error {
 	switch h.Type {
 	case nvme.CapsuleCmd:
@@ -276,19 +289,18 @@
 		if err != nil || d.SubNQN != c.t.nqn || c.host != "" || size < 2 || qid > 0 && c.t.io == nil {
 			return nvme.ConnectInvalid | nvme.DoNotRetry, 0
 		}
-		c.qid, c.host, c.cntlid = qid, d.HostNQN, d.CNTLID
-		if qid == 0 {
-			c.t.mu.Lock()
+		c.t.mu.Lock()
+		defer c.t.mu.Unlock()
+		if c.cntlid = d.CNTLID; qid == 0 {
 			c.t.ids++
 			c.cntlid = c.t.ids
-			c.t.mu.Unlock()
-		} else {
-			c.t.each(func(a *conn) {
-				if a.qid == 0 && a.cntlid == d.CNTLID {
-					c.reports.Store(a.reports.Load())
-				}
-			})
 		}
+		for a := range c.t.conns {
+			if a.host != "" && a.qid == 0 && a.cntlid == c.cntlid {
+				c.reports.Store(a.reports.Load())
+			}
+		}
+		c.qid, c.host = qid, d.HostNQN
 		return nvme.Success, uint64(c.cntlid)
 	case nvme.FabricsPropertySet:
 		if cmd.Dword(11) == nvme.PropCC {
