--- a/internal/gateway/count_test.go
+++ b/internal/gateway/count_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -161,6 +162,7 @@
 	s.Nodes = 3
 	s.Volumes[0].Cells = []int{0, 1, 2, 0, 1, 2}
 	s.Volumes[0].Extent = 1 << 20
+	s.Head = strings.ReplaceAll(s.Head, "deadline = s(2)", "deadline = ms(500)") // a lost answer holds its place so long
 	s.More = "rules(order_pause = ms(50))\ntimes(keep_alive = s(2))\n"
 	f, gws, stop := up(t, s)
 	stopped := make(chan struct{})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -145,3 +145,84 @@
 		})
 	}
 }
+
+// A volume at its bound of buffers, with all its nodes hanging, takes nothing more and waits; another volume through the
+// same gateway goes on, and in the end everything has its answer.
+func TestMemoryBound(t *testing.T) {
+	s := fleet.Shape{Nodes: 2, Gateways: 1, Node: standin.NodeConfig{Base: time.Microsecond}, Head: fleet.Head, More: "bounds(request = KiB(512))\n",
+		Volumes: []fleet.Volume{
+			{Name: "full", Plan: "priority", Cells: []int{0}, Extent: 4 << 20, Through: []int{0}, Table: "TABLE", More: "memory = MiB(1),"},
+			{Name: "other", Plan: "priority", Cells: []int{1}, Extent: 4 << 20, Through: []int{0}, Table: "TABLE"}}}
+	f, gws, stop := up(t, s)
+	defer stop()
+	f.Nodes[0].Set(func(t *standin.Trouble) { t.Hang = true })
+	full, err := f.Dial(0, "full", standin.ClientConfig{Queues: 1, Depth: 12, MostData: 256 << 10}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer full.Vanish()
+	answers := make(chan uint8, 12)
+	for i := range 12 {
+		if err := full.Submit(0, 0, uint64(i), nil, 256<<10, func(r standin.Reply) { answers <- r.Status }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := fleet.Eventually(time.Second, func() bool { return gws[0].Engine.Tally().Ops == 4 }); err != nil {
+		t.Errorf("%d requests of 256 KiB are held in 1 MiB, want 4", gws[0].Engine.Tally().Ops)
+	}
+	other, err := f.Dial(0, "other", standin.ClientConfig{Queues: 1, Depth: 4}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Vanish()
+	if r, err := other.Do(0, 0, 0, nil, 64<<10); err != nil || r.Status != 0 {
+		t.Errorf("the other volume: status %d, %v", r.Status, err)
+	}
+	f.Nodes[0].Set(func(t *standin.Trouble) { t.Hang = false })
+	for range 12 {
+		select {
+		case <-answers:
+		case <-time.After(10 * time.Second):
+			t.Fatal("a request was never answered")
+		}
+	}
+}
+
+// The bound on a volume's clients: further ones wait at the socket, and come in as others leave.
+func TestClientBound(t *testing.T) {
+	f, gws, stop := up(t, one())
+	defer stop()
+	var in []*standin.Client
+	for range 8 {
+		c, err := f.Dial(0, "orders", standin.ClientConfig{}, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		in = append(in, c)
+	}
+	got := make(chan error, 1)
+	go func() {
+		c, err := standin.Dial(f.Socket(0, "orders"), standin.ClientConfig{})
+		if err == nil {
+			_, err = c.Do(0, 0, 0, nil, 4096)
+			c.Vanish()
+		}
+		got <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if n := gws[0].Rings.Sessions.Load(); n != 8 {
+		t.Errorf("%d sessions, want 8", n)
+	}
+	in[3].Vanish()
+	select {
+	case err := <-got:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the ninth client never came in")
+	}
+	for _, c := range in {
+		c.Vanish()
+	}
+}
