--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -35,6 +35,7 @@
 	Crash       Kind = "crash"        // nodes die, and come back cold after the time that lasts
 	Drain       Kind = "drain"        // nodes say that they drain
 	StaleList   Kind = "stale_list"   // the directory tells changes so much later
+	RepeatList  Kind = "repeat_list"  // the directory tells of a change though nothing has changed
 	Flap        Kind = "flap"         // the directory drops and names nodes by turns, every so often
 	Eager       Kind = "eager"        // clients repeat at once what was refused or failed
 	Vanish      Kind = "vanish"       // clients leave in the middle of what they do, and new ones come
@@ -170,6 +171,7 @@
 	}))
 	event(Eager, all(lasting))
 	event(Vanish, func(f *script.Form, e *Event) { e.Clients = int(f.Whole("clients", script.Must, 1, 1000)) })
+	event(RepeatList, all())
 	event(Stop, all(lasting, gateway))
 	event(Kill, all(lasting, gateway))
 	if err := l.Run(name); err != nil {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -61,7 +61,7 @@
 		Gateway: ", unit_mean = 1.4, unit_top = 8, max_attempts = 4, tells_elsewhere = True",
 		More:    "times(keep_alive = s(4), connect = s(1), drain = s(6))\nbounds(memory = MiB(192), depth = 64)\n",
 		Node: standin.NodeConfig{Cores: 2, Base: 11 * time.Millisecond, PerKiB: 60 * time.Microsecond, QueueMost: 64,
-			ColdFrom: 0.2, ColdTime: 5 * time.Second, TipOver: tipOver, TipTime: tipTime, PutOff: 0.2, PutOffGo: time.Second,
+			ColdFrom: 0.2, ColdTime: 5 * time.Second, TipOver: tipOver, TipTime: tipTime, PutOff: 0.2, PutOffGo: time.Second, PauseEvery: 4 * time.Second, PauseFor: 60 * time.Millisecond,
 			Remember: 4 * time.Second, WriteCache: true, InCapsule: 8192, Record: record},
 	}
 	for i := range 9 {
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -291,6 +291,8 @@
 		return each(func(i int) { p.Nodes[i].Drain(true) }), each(func(i int) { p.Nodes[i].Drain(false) })
 	case day.StaleList:
 		return func() { p.Directory.Late(e.By) }, func() { p.Directory.Late(0) }
+	case day.RepeatList:
+		return p.Directory.Repeat, nil
 	case day.Flap:
 		stop := make(chan struct{})
 		return func() {
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -28,6 +28,8 @@
 	TipTime    time.Duration
 	PutOff     float64       // part of a write's work that is put off, done in one go every PutOffEvery
 	PutOffGo   time.Duration // how often
+	PauseEvery time.Duration // the whole node stands still so often, at times of its own
+	PauseFor   time.Duration
 	Remember   time.Duration // repeats of a key are dropped for so long
 	Plain      bool          // no vendor features
 	Digests    bool
@@ -443,6 +445,7 @@
 			d *= 1 - n.cfg.PutOff
 		}
 		n.mu.Unlock()
+		n.standStill()
 		time.Sleep(time.Duration(d))
 		n.mu.Lock()
 		n.working--
@@ -458,6 +461,15 @@
 	}
 }
 
+// standStill waits while the node pauses, as it does at the same moments on all its cores.
+func (n *Node) standStill() {
+	if n.cfg.PauseEvery > 0 {
+		if at := (time.Since(n.begun()) + time.Duration(n.cfg.Seed)*time.Second/3) % n.cfg.PauseEvery; at < n.cfg.PauseFor {
+			time.Sleep(n.cfg.PauseFor - at)
+		}
+	}
+}
+
 // flushPutOff has a core do what writes have put off, in one go.
 func (n *Node) flushPutOff() {
 	defer n.workers.Done()
@@ -617,3 +629,5 @@
 	}
 	return len(hosts)
 }
+
+func (n *Node) begun() time.Time { n.mu.Lock(); defer n.mu.Unlock(); return n.started }
