What a gateway has learned outlasts its process: logic's memory, package recall, a checked store

Limits are only built on where the process ended by itself, on the same boot's clock, and the state was marked as used; else they start at their lowest. Over 12 restarts in 4 s a limit's store stayed within its slack.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -108,6 +108,30 @@
 	return c, nil
 }
 
+// Remember gives the core what an earlier process has learned, before anything happens. Where that process did not
+// end by itself, changes wait until its attempts are surely over.
+func (c *Core) Remember(now logic.Micros, m logic.Memory) error { return c.host.Remember(now, m) }
+
+// Rest holds changes back for the time of the order rule's pause, as attempts of a process that was killed may run.
+func (c *Core) Rest(now logic.Micros) {
+	for i := range c.vols {
+		c.vols[i].order.Rest(now + c.cfg.Logic.Rules.OrderPause)
+	}
+}
+
+// Quiet tells whether nothing is held, and nothing that was sent may still run at a node.
+func (c *Core) Quiet() bool {
+	for i := range c.vols {
+		if live, held, resting := c.vols[i].order.Len(); live+held+resting > 0 {
+			return false
+		}
+	}
+	return c.tally.Ops == 0 && c.tally.Attempts == 0
+}
+
+// Learned copies what the core has learned by now.
+func (c *Core) Learned(now logic.Micros) logic.Memory { return c.host.Memory(now) }
+
 // Memory is what bounds a volume's buffers; fronts draw on it for what they take.
 func (c *Core) Memory(volume int) *semaphore.Weighted { return c.vols[volume].memory }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -95,6 +95,40 @@
 // Nodes gives news of the nodes.
 func (e *Engine) Nodes(list []logic.Node) { e.post(input{kind: nodes, nodes: list}) }
 
+// Remember gives the engine what an earlier process has learned, before anything is brought. Rest is set where that
+// process may have left attempts at nodes.
+func (e *Engine) Remember(m *logic.Memory, rest bool) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.Now()
+	if rest {
+		e.core.Rest(now)
+	}
+	if m == nil {
+		return nil
+	}
+	return e.core.Remember(now, *m)
+}
+
+// Quiet tells whether nothing is held, and nothing that was sent may still run at a node.
+func (e *Engine) Quiet() bool {
+	e.mu.Lock()
+	quiet := e.core.Quiet()
+	e.mu.Unlock()
+	e.catchUp()
+	return quiet
+}
+
+// Learned copies what has been learned, and the time of it.
+func (e *Engine) Learned() (m logic.Memory, now logic.Micros) {
+	e.mu.Lock()
+	now = e.Now()
+	m = e.core.Learned(now)
+	e.mu.Unlock()
+	e.catchUp()
+	return m, now
+}
+
 // Tally tells the counts so far.
 func (e *Engine) Tally() Tally {
 	e.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"appleplank/internal/nvme"
 	"appleplank/internal/nvme/initiator"
 	"appleplank/internal/settings"
+	"appleplank/internal/state"
 	"appleplank/logic"
 	"appleplank/members"
 
@@ -36,6 +37,9 @@
 
 	mu      sync.Mutex
 	members *members.Members
+
+	store *state.Store // nil: nothing is kept
+	Saves SaveCounts
 }
 
 // New makes a gateway and opens its sockets, so that what is wrong with them is told at once.
@@ -84,7 +88,11 @@
 		}
 	}
 	e.SetBack(g)
+	if err := g.recall(); err != nil {
+		return nil, err
+	}
 	if g.Rings, err = ring.Listen(cfg, e, log.Named("ring")); err != nil {
+		g.closeStore()
 		return nil, err
 	}
 	return g, nil
@@ -103,6 +111,9 @@
 		nodes.Go(func() error { return g.direct.Run(back) })
 	}
 	g.news(func(*members.Members) {})
+	if g.store != nil {
+		nodes.Go(func() error { g.keep(back); return nil })
+	}
 	front, stopFront := context.WithCancel(hard)
 	defer stopFront()
 	var rings errgroup.Group
@@ -121,9 +132,14 @@
 	}
 	stopFront()
 	rings.Wait()
+	quiet := g.Engine.Quiet() // before connections are cut, which ends what is out without telling how
 	stopBack()
 	nodes.Wait()
 	g.Engine.Close()
+	if g.store != nil {
+		g.save(err == nil, quiet) // with nothing held and nothing sent any more, this is the last word
+		g.closeStore()
+	}
 	return err
 }
 
--- /dev/null
+++ b/internal/gateway/keep.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"appleplank/internal/state"
+	"appleplank/logic"
+	"appleplank/members"
+	"appleplank/recall"
+
+	"go.uber.org/zap"
+)
+
+// SaveCounts are totals since the start.
+type SaveCounts struct{ Saved, Failed atomic.Uint64 }
+
+// recall takes hold of the state folder and gives engine and members what of it still counts. What is wrong with the
+// file never keeps a gateway from starting; another process that holds the folder does.
+func (g *Gateway) recall() error {
+	dir := g.cfg.State.Dir
+	if dir == "" {
+		return g.Engine.Remember(nil, true)
+	}
+	store, err := state.Open(dir, fmt.Sprintf("gateway %s, process %d", g.cfg.Name, os.Getpid()))
+	if err != nil {
+		return err
+	}
+	g.store = store
+	log := g.log.Named("state")
+	st, err := store.Load(g.cfg.Name)
+	if err != nil {
+		log.Warn("started without", zap.Error(err))
+	}
+	if st == nil {
+		return g.Engine.Remember(nil, true)
+	}
+	// Mark it as used before anything is sent: a later start must not take it for the last word of this life.
+	clean, quiet := st.Clean, st.Clean && st.Quiet
+	st.Clean, st.Quiet = false, false
+	marked := true
+	if err := store.Save(st); err != nil {
+		if ferr := store.Forget(); ferr != nil {
+			marked = false
+		}
+		log.Warn("cannot be written; limits start at their lowest", zap.Error(err))
+		g.Saves.Failed.Add(1)
+	}
+	age, how, complaint := recall.Age(st.Written, state.Now())
+	if complaint != "" {
+		log.Warn("how old it is cannot be told; most of it counts for nothing", zap.String("complaint", complaint))
+	}
+	memory := recall.Fade(st.Logic, age, how, recall.Limits(clean, marked, how))
+	now := g.Engine.Now()
+	known := st.Members
+	for i := range known {
+		for _, at := range []*logic.Micros{&known[i].Started, &known[i].Refused} {
+			if *at < logic.Never/2 && how != recall.None {
+				*at += age
+			}
+		}
+	}
+	g.members.Remember(now, known)
+	if err := g.Engine.Remember(&memory, !quiet); err != nil {
+		log.Warn("started without", zap.Error(err))
+		return g.Engine.Remember(nil, true)
+	}
+	log.Info("remembered", zap.Duration("age", time.Duration(age)*time.Microsecond), zap.Bool("exact", how == recall.Exact),
+		zap.Bool("ended by itself", clean), zap.Int("nodes", len(memory.Nodes)), zap.Int("volumes", len(memory.Volumes)))
+	return nil
+}
+
+// keep saves every so often. Trouble is said once when it begins and once when it ends.
+func (g *Gateway) keep(ctx context.Context) {
+	t := time.NewTicker(time.Duration(g.cfg.State.Every) * time.Microsecond)
+	defer t.Stop()
+	last := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		err := g.save(false, false)
+		switch {
+		case err != nil && err.Error() != last:
+			last = err.Error()
+			g.log.Named("state").Warn("cannot be saved; service goes on", zap.Error(err))
+		case err == nil && last != "":
+			last = ""
+			g.log.Named("state").Info("is saved again", zap.Uint64("failed", g.Saves.Failed.Load()))
+		}
+	}
+}
+
+// save writes what is known now. Clean says that nothing will be sent after it, quiet that nothing sent may still run.
+func (g *Gateway) save(clean, quiet bool) error {
+	m, now := g.Engine.Learned()
+	g.mu.Lock()
+	known := g.members.Memory(now)
+	g.mu.Unlock()
+	err := g.store.Save(&state.State{Gateway: g.cfg.Name, Written: state.Now(), Clean: clean, Quiet: quiet, Logic: m, Members: append([]members.Memory(nil), known...)})
+	if err != nil {
+		g.Saves.Failed.Add(1)
+		return err
+	}
+	g.Saves.Saved.Add(1)
+	return nil
+}
+
+func (g *Gateway) closeStore() {
+	if g.store != nil {
+		g.store.Close()
+	}
+}
--- /dev/null
+++ b/internal/gateway/restart_test.go
@@ -0,0 +1,198 @@
+package gateway_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"appleplank/internal/fleet"
+	"appleplank/internal/gateway"
+	"appleplank/internal/settings"
+	"appleplank/internal/standin"
+	"go.uber.org/zap"
+)
+
+// start runs one gateway; stop ends it by draining, or at once.
+func start(t testing.TB, path string) (g *gateway.Gateway, stop func(hard bool)) {
+	t.Helper()
+	cfg, err := settings.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g, err = gateway.New(cfg, zap.NewNop()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	hard, cut := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx, hard) }()
+	return g, func(now bool) {
+		if now {
+			cut()
+		}
+		cancel()
+		if err := <-done; err != nil && !now {
+			t.Errorf("gateway: %v", err)
+		}
+		cut()
+	}
+}
+
+// Over many restarts in short order, by draining and at once, with and without kept state, a limited volume gets no
+// more than its plan allows on what the nodes received.
+func TestLimitOverRestarts(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		s := one()
+		s.Node.Record = true
+		s.Head = strings.Replace(fleet.Head, "limit = 120, limit_burst = 60, limit_slack = 12", "limit = 200, limit_burst = 40, limit_slack = 10", 1)
+		s.Volumes[0].Plan = "basic"
+		if kept {
+			s.More = "state(dir = \"kept\", every = ms(20))\n"
+		}
+		f, err := fleet.New(t.TempDir(), s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		over := make(chan struct{})
+		var wg sync.WaitGroup
+		wg.Add(1)
+		go func() { // asks for many times the limit, whatever happens
+			defer wg.Done()
+			for {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				cl, err := f.Dial(0, "orders", standin.ClientConfig{Queues: 1, Depth: 16, MostData: 4096}, 0)
+				if err != nil {
+					time.Sleep(5 * time.Millisecond)
+					continue
+				}
+				wg.Add(1)
+				cl.Watch(func() { go cl.Vanish() })
+				go func() {
+					defer wg.Done()
+					<-over
+					cl.Vanish()
+				}()
+				for i := 0; cl.Submit(0, 0, uint64(i%512)*8, nil, 4096, func(standin.Reply) {}) == nil; i++ {
+					time.Sleep(500 * time.Microsecond)
+				}
+			}
+		}()
+		for i := range 12 {
+			_, stop := start(t, f.Settings[0])
+			time.Sleep(time.Duration(100+37*i%200) * time.Millisecond)
+			stop(i%2 == 0)
+		}
+		close(over)
+		wg.Wait()
+		const rate, burst, slack, jitter = 200.0, 40.0, 10.0, 0.1
+		var all []standin.Command
+		for _, n := range f.Nodes {
+			all = append(all, n.Records()...)
+		}
+		f.Close()
+		level, last, least := burst, time.Time{}, burst
+		for len(all) > 0 { // in time's order over the nodes
+			first := 0
+			for i := range all {
+				if all[i].Received.Before(all[first].Received) {
+					first = i
+				}
+			}
+			c := all[first]
+			all[first] = all[len(all)-1]
+			all = all[:len(all)-1]
+			if !last.IsZero() {
+				level = min(level+rate*c.Received.Sub(last).Seconds(), burst)
+			}
+			last = c.Received
+			level--
+			least = min(least, level)
+		}
+		if last.IsZero() {
+			t.Fatal("nothing was sent")
+		}
+		if least < -slack-rate*jitter {
+			t.Errorf("state kept %v: the limit's store went to %.1f, slack is %.0f", kept, least, slack)
+		}
+	}
+}
+
+// What was learned is there after a restart; a store that cannot be used, of whatever kind, never keeps a gateway from
+// serving, and is said in one line.
+func TestRestartWithState(t *testing.T) {
+	s := one()
+	s.More = "state(dir = \"kept\", every = ms(20))\n"
+	f, err := fleet.New(t.TempDir(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	serve := func() {
+		t.Helper()
+		cl, err := f.Dial(0, "orders", standin.ClientConfig{}, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer cl.Vanish()
+		err = fleet.Eventually(5*time.Second, func() bool { r, err := cl.Do(0, 0, 0, nil, 4096); return err == nil && r.Status == 0 })
+		if err != nil {
+			t.Error(err)
+		}
+		if r, err := cl.Do(0, 1, 0, make([]byte, 4096), 4096); err != nil || r.Status != 0 {
+			t.Errorf("a write: status %d, %v", r.Status, err)
+		}
+	}
+	g, stop := start(t, f.Settings[0])
+	serve()
+	m, _ := g.Engine.Learned()
+	if m.Unit == 0 || len(m.Volumes) != 1 {
+		t.Fatalf("nothing was learned: %+v", m)
+	}
+	if _, err := gateway.New(config(t, f.Settings[0]), zap.NewNop()); err == nil || !strings.Contains(err.Error(), "is held by gateway gw0, process") {
+		t.Errorf("a second gateway on the folder: %v", err)
+	}
+	stop(false)
+	g, stop = start(t, f.Settings[0])
+	again, _ := g.Engine.Learned()
+	if again.Unit != m.Unit && again.Unit == 0 || len(again.Nodes) != 2 || len(again.Volumes) != 1 {
+		t.Errorf("after a restart: %+v, was %+v", again, m)
+	}
+	serve()
+	stop(true)
+	file := filepath.Join(f.Dir, "kept", "state")
+	for name, break_ := range map[string]func(){
+		"damaged": func() { os.WriteFile(file, []byte("no state"), 0o644) },
+		"missing": func() { os.Remove(file) },
+		"a folder in its place": func() {
+			os.Remove(file)
+			os.Mkdir(file, 0o755)
+		},
+	} {
+		break_()
+		_, stop := start(t, f.Settings[0])
+		serve()
+		stop(false)
+		t.Log(name)
+		os.RemoveAll(file)
+	}
+	if aside, _ := filepath.Glob(file + ".aside-*"); len(aside) == 0 {
+		t.Error("the damaged file was not set aside")
+	}
+}
+
+func config(t *testing.T, path string) *settings.Config {
+	t.Helper()
+	cfg, err := settings.Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
--- a/internal/settings/describe.go
+++ b/internal/settings/describe.go
@@ -64,5 +64,10 @@
 		d(c.Times.AnswerMargin), d(c.Times.Connect), d(c.Times.KeepAlive), d(c.Times.Drain))
 	fmt.Fprintf(t, "bounds: %d commands over %d queues a node, %d bytes a request, %d bytes of buffers, %d bytes of a client's memory\n",
 		c.Bounds.Depth, c.Bounds.IOQueues, c.Bounds.MostBytes, c.Bounds.Memory, c.Bounds.MostMemory)
+	if c.State.Dir != "" {
+		fmt.Fprintf(t, "state: kept in %s, written every %v\n", c.State.Dir, d(c.State.Every))
+	} else {
+		fmt.Fprintf(t, "state: not kept\n")
+	}
 	return t.Flush()
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -32,13 +32,16 @@
 	return c, err
 }
 
-// rebase makes socket paths of the script relative to its folder.
+// rebase makes paths of the script relative to its folder.
 func (c *Config) rebase(dir string) {
 	for i := range c.Volumes {
 		if s := c.Volumes[i].Socket; s != "" && !filepath.IsAbs(s) {
 			c.Volumes[i].Socket = filepath.Join(dir, s)
 		}
 	}
+	if c.State.Dir != "" && !filepath.IsAbs(c.State.Dir) {
+		c.State.Dir = filepath.Join(dir, c.State.Dir)
+	}
 }
 
 // loader fills a Config from the calls of a script.
@@ -59,6 +62,7 @@
 	l.Single("directory", l.directory)
 	l.Single("times", l.times)
 	l.Single("bounds", l.bounds)
+	l.Single("state", l.state)
 	l.Many("class_", l.class)
 	l.Many("plan", l.plan)
 	l.Many("node", l.node)
@@ -144,6 +148,13 @@
 	}
 }
 
+func (l *loader) state(f *script.Form) {
+	l.c.State.Dir = f.Text("dir", "", true)
+	if l.c.State.Every = logic.Micros(f.Duration("every", 1_000_000)); l.c.State.Every < 10_000 {
+		f.Bad("every", "is under 10 ms")
+	}
+}
+
 func (l *loader) class(f *script.Form) {
 	name := f.Text("name", "", true)
 	if _, twice := l.classes[name]; twice {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,6 +20,7 @@
 	Directory Directory
 	Times     Times
 	Bounds    Bounds
+	State     State
 }
 
 // Volume is one disk that clients see.
@@ -106,3 +107,9 @@
 	MostMemory int64 // mapped memory of one client
 	MostBytes  int64 // data of one ring request
 }
+
+// State is where what was learned is kept; without a folder nothing is.
+type State struct {
+	Dir   string
+	Every logic.Micros // how often it is written
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -73,8 +73,9 @@
 		return nil, err
 	}
 	short := slices.MinFunc(s.Classes, func(a, b Class) int { return cmp.Compare(a.Aim, b.Aim) }).Aim
+	pcg := rand.NewPCG(seed, 0x9e3779b97f4a7c15)
 	return &Host{
-		set: s, shortAim: short, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		set: s, shortAim: short, pcg: pcg, rng: rand.New(pcg),
 		requests: map[RequestID]*request{}, volumes: map[VolumeID]*volume{},
 		nodes: map[NodeID]*node{}, chains: map[uint64]*chain{}, cells: map[int][]*node{},
 		unserved: map[what]Micros{}, anyAt: map[bool]Micros{},
--- a/logic/state.go
+++ b/logic/state.go
@@ -12,6 +12,7 @@
 // Host is one initiator's scheduler. It is not safe for concurrent use.
 type Host struct {
 	set      Settings
+	pcg      *rand.PCG
 	rng      *rand.Rand
 	now      Micros
 	before   Micros // the Step before this one
--- a/members/members.go
+++ b/members/members.go
@@ -174,3 +174,42 @@
 	}
 	return out
 }
+
+// Memory is what is known of a node beyond its settings. Times are ages, as in [logic.Memory].
+type Memory struct {
+	ID      logic.NodeID
+	Started logic.Micros
+	Refused logic.Micros
+	Address string // the directory's
+}
+
+// Memory copies what outlasts a restart, by id.
+func (m *Members) Memory(now logic.Micros) (out []Memory) {
+	age := func(at logic.Micros) logic.Micros {
+		if at == 0 {
+			return logic.Never
+		}
+		return now - at
+	}
+	for _, n := range m.nodes {
+		out = append(out, Memory{n.ID, age(n.started), age(n.refusedAt), n.now})
+	}
+	return out
+}
+
+// Remember gives back what an earlier process knew, before anything is told. A start that is remembered is only
+// moved by one that differs, so that logic does not take a node it knows for a fresh one. Which nodes are there is not
+// remembered: the directory or the settings say so.
+func (m *Members) Remember(now logic.Micros, list []Memory) {
+	at := func(age logic.Micros) logic.Micros {
+		if age >= logic.Never/2 || age < 0 || now-age <= 0 {
+			return 0
+		}
+		return now - age
+	}
+	for _, x := range list {
+		if n := m.find(x.ID); n != nil {
+			n.started, n.refusedAt = at(x.Started), at(x.Refused)
+		}
+	}
+}
--- a/ranges/ranges.go
+++ b/ranges/ranges.go
@@ -26,7 +26,8 @@
 	longest int64    // no entry is longer
 	seq     uint64
 	nextKey func() uint64
-	freed   bool // something ended since held was looked at
+	freed   bool         // something ended since held was looked at
+	still   logic.Micros // every change is held until then
 }
 
 type entry struct {
@@ -59,7 +60,9 @@
 func (o *Order) Take(id logic.RequestID, from, to int64, by logic.Micros) (key uint64, ok bool) {
 	o.seq++
 	e := &entry{id: id, seq: o.seq, from: from, to: to, by: by}
-	key, ok = o.find(e)
+	if o.still == 0 {
+		key, ok = o.find(e)
+	}
 	if ok {
 		e.key = key
 	} else {
@@ -71,6 +74,11 @@
 	return key, ok
 }
 
+// Rest holds every change back until the given time. It guards against attempts of an earlier process that was killed:
+// which bytes they change is not known, and a node may go on with them for a while. It costs the first changes after
+// such a start that while.
+func (o *Order) Rest(until logic.Micros) { o.still = until }
+
 // find is the key under which e may join: that of all it overlaps with, or a fresh one.
 func (o *Order) find(e *entry) (key uint64, ok bool) {
 	ok = true
@@ -123,6 +131,11 @@
 
 // Free calls take for each held request that may go now, in their turn.
 func (o *Order) Free(now logic.Micros, take func(id logic.RequestID, key uint64)) {
+	if o.still > now {
+		return
+	} else if o.still > 0 {
+		o.still, o.freed = 0, true
+	}
 	if len(o.rests) > 0 {
 		keep := o.rests[:0]
 		for _, e := range o.rests {
@@ -180,6 +193,9 @@
 			at = e.rest
 		}
 	}
+	if o.still > 0 && len(o.held) > 0 {
+		at = min(at, o.still)
+	}
 	return at
 }
 
--- a/ranges/ranges_test.go
+++ b/ranges/ranges_test.go
@@ -162,6 +162,34 @@
 	})
 }
 
+// After a start that follows a kill every change waits once, then all go on as if they had just come.
+func TestRest(t *testing.T) {
+	o := New(keys())
+	o.Rest(500)
+	for id := logic.RequestID(1); id <= 3; id++ {
+		if _, ok := o.Take(id, int64(id)*10, int64(id)*10+11, 1000); ok {
+			t.Errorf("request %d is not held", id)
+		}
+	}
+	if o.Next() != 500 {
+		t.Errorf("next is %d, want the end of the rest", o.Next())
+	}
+	free := func(now logic.Micros) (got map[logic.RequestID]uint64) {
+		got = map[logic.RequestID]uint64{}
+		o.Free(now, func(id logic.RequestID, key uint64) { got[id] = key })
+		return got
+	}
+	if got := free(499); len(got) != 0 {
+		t.Errorf("freed %v within the rest", got)
+	}
+	if got := free(500); len(got) != 3 || got[1] != got[2] || got[2] != got[3] {
+		t.Errorf("freed %v, want all three, which overlap, under one key", got)
+	}
+	if _, ok := o.Take(4, 100, 110, 1000); !ok {
+		t.Error("held after the rest")
+	}
+}
+
 func TestJoin(t *testing.T) {
 	for _, c := range []struct {
 		pieces []Answer
--- /dev/null
+++ b/recall/recall_test.go
@@ -0,0 +1,228 @@
+package recall
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"appleplank/logic"
+
+	"pgregory.net/rapid"
+)
+
+func TestAge(t *testing.T) {
+	then := Stamp{"b1", 100 * sec, 1000 * hour}
+	for name, c := range map[string]struct {
+		now      Stamp
+		age      logic.Micros
+		how      Trust
+		complain bool
+	}{
+		"same boot":                    {Stamp{"b1", 103 * sec, 5}, 3 * sec, Exact, false},
+		"same boot, wall set back":     {Stamp{"b1", 103 * sec, 0}, 3 * sec, Exact, false},
+		"same boot, backward":          {Stamp{"b1", 99 * sec, 1000 * hour}, 0, None, true},
+		"another boot":                 {Stamp{"b2", sec, 1000*hour + minute}, minute, ByWall, false},
+		"another boot, clock set back": {Stamp{"b2", sec, 999 * hour}, 0, None, true},
+		"a year ahead":                 {Stamp{"b2", sec, 1000*hour + 2*tooFar}, 0, None, true},
+		"boot not known":               {Stamp{"", 103 * sec, 1000*hour + sec}, sec, ByWall, false},
+	} {
+		age, how, complaint := Age(then, c.now)
+		if age != c.age || how != c.how || (complaint != "") != c.complain {
+			t.Errorf("%s: %d, %d, %q", name, age, how, complaint)
+		}
+	}
+}
+
+func TestLimits(t *testing.T) {
+	for _, clean := range []bool{false, true} {
+		for _, marked := range []bool{false, true} {
+			for _, how := range []Trust{Exact, ByWall, None} {
+				if got := Limits(clean, marked, how); got != (clean && marked && how == Exact) {
+					t.Errorf("clean %v, marked %v, trust %d: %v", clean, marked, how, got)
+				}
+			}
+		}
+	}
+}
+
+var set = logic.Settings{
+	Hosts: 2, Classes: []logic.Class{{Aim: 100 * ms, Deadline: 2 * sec, Worth: 1, LateShare: 0.2}, {Aim: 200 * ms, Deadline: 3 * sec, Worth: 2, InOrder: true}},
+	Plans:       []logic.Plan{{Rate: 50, Reserve: 40, Weight: 1}, {Rate: 20, Weight: 1, Limit: 30, LimitBurst: 10, LimitSlack: 2}},
+	Rules:       logic.Rules{ColdFrom: 0.2, ColdTime: 10 * sec, ColdUnits: 10, OverloadTime: sec, TipMultiple: 3, BudgetWindow: sec, BudgetFree: 2, BudgetPerTake: 0.1},
+	MaxAttempts: 3, UnitMean: 1, UnitTop: 4,
+}
+
+// life plays random events to a host: it draws them, so that they are the same to each host that is given them.
+type life struct {
+	host *logic.Host
+	now  logic.Micros
+	id   logic.RequestID
+	out  []logic.Send
+	tok  []logic.Wake
+	try  map[logic.RequestID]int
+}
+
+func (l *life) step(t *rapid.T) {
+	var events []logic.Event
+	l.now += logic.Micros(rapid.IntRange(1, 40_000).Draw(t, "pass"))
+	for _, w := range l.tok {
+		events = append(events, logic.TimerFired{Token: w.Token})
+	}
+	l.tok = nil
+	for range rapid.IntRange(0, 3).Draw(t, "arrivals") {
+		l.id++
+		plan := rapid.IntRange(0, 1).Draw(t, "plan")
+		events = append(events, logic.Arrival{Request: l.id, Class: rapid.IntRange(0, 1).Draw(t, "class"), Cell: rapid.IntRange(0, 2).Draw(t, "cell"),
+			Key: uint64(l.id), Volume: logic.VolumeID(plan*2 + rapid.IntRange(0, 1).Draw(t, "volume")), Plan: plan, Attached: 2, Units: 1, DropDead: l.now + 2*sec})
+	}
+	for len(l.out) > 0 && rapid.Bool().Draw(t, "end") {
+		s := l.out[0]
+		l.out = l.out[1:]
+		o := rapid.SampledFrom([]logic.Outcome{logic.OK, logic.OK, logic.OK, logic.Failed, logic.Full, logic.TimedOut, logic.ConnectFailed}).Draw(t, "outcome")
+		events = append(events, logic.AttemptEnded{Request: s.Request, Attempt: l.try[s.Request], Node: s.Node, Outcome: o, Settled: o == logic.OK, Load: logic.NoLoad})
+		l.try[s.Request]++
+	}
+	for _, a := range l.host.Step(l.now, events, nil) {
+		switch a := a.(type) {
+		case logic.Send:
+			l.out = append(l.out, a)
+		case logic.Wake:
+			l.tok = append(l.tok, a)
+		}
+	}
+}
+
+func nodes(now logic.Micros) logic.NodeList {
+	return logic.NodeList{Kind: logic.ListFull, Nodes: []logic.Node{{ID: 1, Cell: 0, State: logic.Ready}, {ID: 2, Cell: 1, State: logic.Ready, Started: now - 3*sec},
+		{ID: 3, Cell: 2, State: logic.Ready}}}
+}
+
+// The same memory given to the same module gives the same decisions: two hosts that remember one memory, which is also
+// what a third takes out again at once, act alike on one stream of events.
+func TestSameMemorySameDecisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, _ := logic.New(set, 7)
+		l := &life{host: first, now: 3600 * sec, try: map[logic.RequestID]int{}}
+		list := nodes(l.now)
+		first.Step(l.now, []logic.Event{list}, nil)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			l.step(t)
+		}
+		m := first.Memory(l.now)
+		if err := m.Check(); err != nil {
+			t.Fatal(err)
+		}
+		var twins [2]*logic.Host
+		for i := range twins {
+			twins[i], _ = logic.New(set, uint64(i)) // the seed is part of the memory
+			if err := twins[i].Remember(l.now, m); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if again := twins[0].Memory(l.now); !reflect.DeepEqual(plain(again), plain(m)) {
+			t.Fatalf("taken out again it differs:\n%+v\n%+v", plain(again), plain(m))
+		}
+		for _, h := range twins {
+			h.Step(l.now, []logic.Event{list}, nil)
+		}
+		a := &life{host: twins[0], now: l.now, id: l.id, try: map[logic.RequestID]int{}}
+		for range rapid.IntRange(1, 30).Draw(t, "after") {
+			var events []logic.Event
+			a.now += logic.Micros(rapid.IntRange(1, 40_000).Draw(t, "pass"))
+			for _, w := range a.tok {
+				events = append(events, logic.TimerFired{Token: w.Token})
+			}
+			a.tok = nil
+			for range rapid.IntRange(0, 3).Draw(t, "arrivals") {
+				a.id++
+				events = append(events, logic.Arrival{Request: a.id, Cell: rapid.IntRange(0, 2).Draw(t, "cell"), Volume: 2, Plan: 1, Attached: 2, Units: 1, DropDead: a.now + 2*sec})
+			}
+			for len(a.out) > 0 && rapid.Bool().Draw(t, "end") {
+				s := a.out[0]
+				a.out = a.out[1:]
+				o := rapid.SampledFrom([]logic.Outcome{logic.OK, logic.Failed, logic.Full, logic.TimedOut}).Draw(t, "outcome")
+				events = append(events, logic.AttemptEnded{Request: s.Request, Attempt: a.try[s.Request], Node: s.Node, Outcome: o, Settled: o == logic.OK, Load: logic.NoLoad})
+				a.try[s.Request]++
+			}
+			x := twins[0].Step(a.now, events, nil)
+			y := twins[1].Step(a.now, events, nil)
+			if fmt.Sprint(x) != fmt.Sprint(y) {
+				t.Fatalf("they act apart: %v and %v", x, y)
+			}
+			for _, act := range x {
+				switch act := act.(type) {
+				case logic.Send:
+					a.out = append(a.out, act)
+				case logic.Wake:
+					a.tok = append(a.tok, act)
+				}
+			}
+		}
+	})
+}
+
+// plain is a memory without what a new host cannot have: nodes are gone until a list names them, and times before the
+// clock began are as good as never.
+func plain(m logic.Memory) logic.Memory {
+	for i := range m.Nodes {
+		m.Nodes[i].Node.State = logic.Gone
+		if m.Nodes[i].SentLog == nil {
+			m.Nodes[i].SentLog = []logic.Past{}
+		}
+		if m.Nodes[i].Served == nil {
+			m.Nodes[i].Served = []logic.Past{}
+		}
+		for _, at := range []*logic.Micros{&m.Nodes[i].Rest} {
+			if *at >= logic.Never/2 {
+				*at = logic.Never
+			}
+		}
+	}
+	for i := range m.Volumes {
+		v := &m.Volumes[i]
+		if v.Own.Units == 0 {
+			v.Own = logic.Past{}
+		}
+		if v.Others.Units == 0 {
+			v.Others = logic.Past{}
+		}
+	}
+	return m
+}
+
+// An old memory counts for less, a week-old one for nothing but which nodes there were; what is owed stays owed.
+func TestFade(t *testing.T) {
+	m := logic.Memory{Vanish: 0.8, Unit: 10_000, Spare: 5, Extra: []logic.Micros{ms}, WaitsAge: logic.Never,
+		Nodes: []logic.NodeMemory{{Node: logic.Node{ID: 4, Cell: 2, Started: 2 * sec}, Window: [2]float64{0.5, 0.5}, Failing: 0.8, Missing: 2, Latency: 9000,
+			Wait: 1e6, WaitAge: 0, Down: 100 * ms, SentLog: []logic.Past{{Age: ms, Units: 3}}}},
+		Volumes: []logic.VolumeMemory{{ID: 1, Attached: 1, Balance: 4, Store: 1, Known: true, Share: 3}, {ID: 2, Attached: 1, Balance: -4, Known: true}}}
+	short := Fade(m, 10*sec, Exact, true)
+	if n := short.Nodes[0]; n.Failing != 0.4 || n.Latency != 9000 || n.Node.Started != 12*sec || n.Window[0] != 0.5 || n.SentLog[0].Age != 10*sec+ms {
+		t.Errorf("after 10 s: %+v", n)
+	}
+	if short.Vanish != 0.4 || short.Extra[0] != 10*sec+ms || short.WaitsAge != logic.Never || !short.Volumes[0].Known || short.Volumes[0].Stored != 10*sec {
+		t.Errorf("after 10 s: %+v", short)
+	}
+	if short.Volumes[0].Balance != 0 || short.Volumes[1].Balance != -4 {
+		t.Errorf("balances %v, %v: credit goes, a debt stays", short.Volumes[0].Balance, short.Volumes[1].Balance)
+	}
+	for name, old := range map[string]logic.Memory{"a week": Fade(m, 7*24*hour, ByWall, false), "no telling": Fade(m, 0, None, false)} {
+		n := old.Nodes[0]
+		if n.Node.ID != 4 || n.Node.Cell != 2 || n.Window != [2]float64{} || n.Latency != 0 || n.Failing > 1e-9 || n.Missing != 0 || n.Down != 0 || n.Wait != 0 {
+			t.Errorf("%s: node %+v", name, n)
+		}
+		if old.Unit != 0 || old.Vanish > 1e-9 || old.Spare != 0 || old.Volumes[0].Known || old.Volumes[0].Share != 0 {
+			t.Errorf("%s: %+v", name, old)
+		}
+		host, _ := logic.New(set, 1)
+		if err := host.Remember(3600*sec, old); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if none := Fade(m, 0, None, false); none.Nodes[0].Node.Started != 2*sec {
+		t.Errorf("a start of unknown age counts as %d ago, want as young as it was told", none.Nodes[0].Node.Started)
+	}
+	if !reflect.DeepEqual(m.Nodes[0].SentLog, []logic.Past{{Age: ms, Units: 3}}) || !m.Volumes[0].Known {
+		t.Error("the memory that was given was changed")
+	}
+}
