--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -9,7 +9,8 @@
 
 type nobody struct{}
 
-func (nobody) Done(*Op) {}
+func (nobody) Done(*Op)                  {}
+func (nobody) Sending(*Op, logic.NodeID) {}
 
 // BenchmarkCore is a read from Take to its answer without sockets: what deciding and keeping the books costs.
 func BenchmarkCore(b *testing.B) {
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -152,12 +152,12 @@
 	v := &c.vols[op.Volume]
 	op.taken = now
 	op.Class, _ = v.Class(op.Kind, op.Len)
-	by := now + c.cfg.Logic.Classes[op.Class].Deadline - c.cfg.Times.AnswerMargin
+	by := now + cmp.Or(op.Left, c.cfg.Logic.Classes[op.Class].Deadline) - c.cfg.Times.AnswerMargin
 	add := func(x *settings.Extent, from, n int64) {
 		c.lastID++
 		p := piecePool.Get().(*piece)
 		*p = piece{id: logic.RequestID(c.lastID), op: op, vol: v, extent: x, from: from, len: n, units: v.Units(n),
-			dropDead: by, fresh: true, ordered: op.Kind.Changes()}
+			dropDead: by, fresh: true, ordered: op.Kind.Changes(), number: len(op.pieces)}
 		op.pieces = append(op.pieces, p)
 		c.pieces[p.id] = p
 	}
@@ -391,7 +391,9 @@
 		a.Offset = p.extent.Base + op.Offset + p.from - p.extent.Start
 	}
 	if op.Kind.Changes() {
-		a.Key = c.nonce | uint64(p.id)&0xffffffff
+		if a.Key = c.nonce | uint64(p.id)&0xffffffff; op.Key != 0 {
+			a.Key = op.Key + uint64(p.number)<<1
+		}
 	}
 	c.tally.Sends++
 	if p.tries > 0 {
@@ -417,7 +419,7 @@
 		a.Buffer = block.NewBuffer(p.len, p.vol.memory.Release)
 	}
 	heap.Push(&c.due, a)
-	c.out = append(c.out, Action{Kind: Start, Attempt: &a.Attempt})
+	c.out = append(c.out, Action{Kind: Start, Attempt: &a.Attempt, Op: op})
 }
 
 func (c *Core) newAttempt() *attempt {
--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -65,7 +65,8 @@
 	pieces  map[*piece]bool // the same for each of its parts
 }
 
-func (w *world) Done(op *Op) {}
+func (w *world) Done(op *Op)               {}
+func (w *world) Sending(*Op, logic.NodeID) {}
 
 func (w *world) step() {
 	for {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -214,6 +214,7 @@
 		for _, a := range e.core.Step(now) {
 			switch a.Kind {
 			case Start:
+				a.Op.Front.Sending(a.Op, a.Attempt.Node)
 				e.back.Start(a.Attempt)
 			case Drop:
 				e.back.Drop(a.Attempt)
--- a/internal/engine/op.go
+++ b/internal/engine/op.go
@@ -10,9 +10,11 @@
 	"appleplank/ranges"
 )
 
-// Front is where requests come from. Its method is called while the engine's lock is held and must not wait.
+// Front is where requests come from. Its methods are called while the engine's lock is held and must not wait.
 type Front interface {
 	Done(op *Op) // the one final answer stands in op
+	// Sending says that an attempt for op is about to be begun at a node.
+	Sending(op *Op, node logic.NodeID)
 }
 
 // Op is a block request from the time a front hands it over. Front and engine each hold it and let go once.
@@ -23,7 +25,9 @@
 	Len    int64
 	// Buffer holds Len bytes where the kind moves data: what to write, or room for what is read. It goes with the op.
 	Buffer  *block.Buffer
-	Durable bool // a change must be on stable storage before it is answered
+	Durable bool         // a change must be on stable storage before it is answered
+	Key     uint64       // by which nodes drop repeats, also those of an earlier process; 0: the engine finds one
+	Left    logic.Micros // patience that is left; 0: its class's deadline
 	Front   Front
 	Tag     uint64 // the front's own
 
@@ -65,7 +69,7 @@
 		op.pieces[i] = nil
 	}
 	op.Buffer.Release()
-	op.Volume, op.Kind, op.Offset, op.Len, op.Buffer, op.Durable, op.Front, op.Tag = 0, 0, 0, 0, nil, false, nil, 0
+	op.Volume, op.Kind, op.Offset, op.Len, op.Buffer, op.Durable, op.Key, op.Left, op.Front, op.Tag = 0, 0, 0, 0, nil, false, 0, 0, nil, 0
 	op.Verdict, op.CoolDown, op.Class, op.Took, op.taken = 0, 0, 0, 0, 0
 	op.left, op.alive, op.answer, op.joined, op.gone, op.over = 0, 0, 0, false, false, false
 	op.pieces = op.pieces[:0]
@@ -98,6 +102,7 @@
 	rest     logic.Micros
 	result   *block.Buffer // what was read, from at on
 	at       int64
+	number   int // among its op's pieces
 }
 
 var piecePool = sync.Pool{New: func() any { return new(piece) }}
--- a/internal/front/ring/server.go
+++ b/internal/front/ring/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -12,6 +14,7 @@
 
 	"appleplank/internal/engine"
 	"appleplank/internal/settings"
+	"appleplank/logic"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -22,6 +25,7 @@
 
 // Server listens for the clients of all volumes.
 type Server struct {
+	cfg        *settings.Config
 	engine     *engine.Engine
 	log        *zap.Logger
 	mostMemory int64
@@ -40,7 +44,7 @@
 
 // Listen opens the sockets of all volumes that have one.
 func Listen(cfg *settings.Config, e *engine.Engine, log *zap.Logger) (*Server, error) {
-	s := &Server{engine: e, log: log, mostMemory: cfg.Bounds.MostMemory}
+	s := &Server{cfg: cfg, engine: e, log: log, mostMemory: cfg.Bounds.MostMemory}
 	for i := range cfg.Volumes {
 		v := &cfg.Volumes[i]
 		if v.Socket == "" {
@@ -156,3 +160,35 @@
 		v.l.Close()
 	}
 }
+
+// nonce sets the repeat keys of a region apart from those of all others.
+func (s *Server) nonce() uint64 {
+	var b [8]byte
+	rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// sameGroup tells whether all nodes that may hold a request's data belong to the group of its class that has seen its
+// first attempt, at the given node.
+func (s *Server) sameGroup(class int, d *device, p *parsed, first logic.NodeID) bool {
+	group := s.cfg.Logic.Classes[class].Group
+	if group != logic.GroupZone {
+		return true // all nodes, or those of a cell, which an extent is tied to
+	}
+	zone, known := 0, false
+	for _, n := range s.cfg.Nodes {
+		if n.ID == first {
+			zone, known = n.Zone, true
+		}
+	}
+	for i := range d.Extents {
+		x := &d.Extents[i]
+		if x.Start >= p.offset+p.len || x.Start+x.Len <= p.offset {
+			continue
+		}
+		for _, n := range s.cfg.Nodes {
+			known = known && (n.Cell != x.Cell || n.Zone == zone)
+		}
+	}
+	return known
+}
--- a/internal/front/ring/session.go
+++ b/internal/front/ring/session.go
@@ -34,6 +34,7 @@
 	memMu     sync.RWMutex // held to change memory, read-held to touch it
 	memory    memory
 	rings     []*vring
+	inflight  *inflight    // nil: the front-end keeps none
 	draining  atomic.Bool  // nothing more is taken
 	callMu    sync.RWMutex // guards the rings' call and error descriptors against being closed in use
 	messageNo int
@@ -87,6 +88,7 @@
 	s.memMu.Lock()
 	s.memory.clear()
 	s.memMu.Unlock()
+	s.dropInflight()
 	s.conn.Close()
 	if errors.Is(err, io.EOF) && err == io.EOF || errors.Is(err, context.Canceled) {
 		return nil
@@ -132,6 +134,9 @@
 // handle carries out one message. An error ends the session.
 func (s *session) handle(m *message) error {
 	reply, err := s.carryOut(m)
+	if err == errReplied {
+		return nil
+	}
 	if err != nil {
 		if m.flags&flagNeedReply != 0 && s.protocol&protoReplyAck != 0 {
 			writeReply(s.conn, m.request, []byte{1, 0, 0, 0, 0, 0, 0, 0})
@@ -147,6 +152,80 @@
 	return nil
 }
 
+// errReplied says that a message has had its reply.
+var errReplied = errors.New("replied")
+
+// inflightShape reads the payload of the inflight messages: size, offset, queues, entries; some front-ends pad it.
+func (m *message) inflightShape(fds int) (size, offset uint64, queues, entries int, err error) {
+	if len(m.payload) != 20 && len(m.payload) != 24 {
+		return 0, 0, 0, 0, m.want(20, fds)
+	}
+	if len(m.fds) != fds {
+		return 0, 0, 0, 0, m.want(len(m.payload), fds)
+	}
+	return m.u64(0), m.u64(8), int(load16(m.payload[16:])), int(load16(m.payload[18:])), nil
+}
+
+// dropInflight lets go of the region; no ring runs.
+func (s *session) dropInflight() {
+	if s.inflight != nil {
+		s.inflight.close()
+		s.inflight = nil
+	}
+}
+
+func (s *session) ringsRun() bool {
+	for _, v := range s.rings {
+		if v.run != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// makeInflight answers GET_INFLIGHT_FD with a fresh region.
+func (s *session) makeInflight(m *message) error {
+	_, _, queues, entries, err := m.inflightShape(0)
+	if err != nil {
+		return err
+	}
+	if s.ringsRun() {
+		return errors.New("GET_INFLIGHT_FD while rings run")
+	}
+	f, fd, err := newInflight(queues, entries, s.server.nonce())
+	if err != nil {
+		return err
+	}
+	defer unix.Close(fd)
+	s.dropInflight()
+	s.inflight = f
+	b := make([]byte, len(m.payload))
+	copy(b[16:], m.payload[16:])
+	binary.LittleEndian.PutUint64(b, uint64(len(f.mem)))
+	if err := writeReply(s.conn, m.request, b, fd); err != nil {
+		return err
+	}
+	return errReplied
+}
+
+// takeInflight takes a region back, of this process or of an earlier one.
+func (s *session) takeInflight(m *message) error {
+	size, offset, queues, entries, err := m.inflightShape(1)
+	if err != nil {
+		return err
+	}
+	if s.ringsRun() {
+		return errors.New("SET_INFLIGHT_FD while rings run")
+	}
+	f, err := openInflight(m.fds[0], size, offset, queues, entries)
+	if err != nil {
+		return err
+	}
+	s.dropInflight()
+	s.inflight = f
+	return nil
+}
+
 func u64(v uint64) []byte { return binary.LittleEndian.AppendUint64(nil, v) }
 
 func (s *session) carryOut(m *message) (reply []byte, err error) {
@@ -207,6 +286,10 @@
 		return nil, s.setMemTable(m)
 	case addMemReg, remMemReg:
 		return nil, s.changeMemory(m)
+	case getInflightFD:
+		return nil, s.makeInflight(m)
+	case setInflightFD:
+		return nil, s.takeInflight(m)
 	case getConfig:
 		return s.config(m)
 	case setConfig:
--- /dev/null
+++ b/internal/front/ring/track_test.go
@@ -0,0 +1,87 @@
+package ring
+
+import (
+	"testing"
+
+	"golang.org/x/sys/unix"
+	"pgregory.net/rapid"
+)
+
+// Killed at any step between taking a descriptor and taking its mark away: exactly what was taken and not published is
+// found, in the order taken, and whether it was sent.
+func TestTracker(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const num = 8
+		f, fd, err := newInflight(2, num, 99)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.close()
+		defer unix.Close(fd)
+		open := func() *tracker {
+			g, err := openInflight(fd, uint64(len(f.mem)), 0, 2, num)
+			if err != nil || !g.ours {
+				t.Fatalf("the region is not known again: %v", err)
+			}
+			t.Cleanup(g.close)
+			tr, err := g.track(1, num)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return tr
+		}
+		usedIdx := uint16(rapid.IntRange(0, 0xffff).Draw(t, "used"))
+		tr := open()
+		if l, err := tr.recover(num, usedIdx, 0); err != nil || len(l) != 0 {
+			t.Fatalf("a fresh region holds %v, %v", l, err)
+		}
+		var order []uint16 // taken and not published
+		sent, keys := map[uint16]bool{}, map[uint16]uint64{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				head := uint16(rapid.IntRange(0, num-1).Draw(t, "head"))
+				busy := false
+				for _, h := range order {
+					busy = busy || h == head
+				}
+				if !busy {
+					keys[head], sent[head] = tr.take(head, 5), false
+					order = append(order, head)
+				}
+			case 2:
+				if len(order) > 0 {
+					h := order[rapid.IntRange(0, len(order)-1).Draw(t, "sent")]
+					tr.sending(h, 7, 3)
+					sent[h] = true
+				}
+			default:
+				n := rapid.IntRange(0, len(order)).Draw(t, "batch")
+				for range n {
+					i := rapid.IntRange(0, len(order)-1).Draw(t, "answered")
+					tr.answered(order[i])
+					order = append(order[:i], order[i+1:]...)
+				}
+				usedIdx += uint16(n) // published
+				if rapid.Bool().Draw(t, "killed before the marks are taken away") {
+					break
+				}
+				tr.over(usedIdx)
+				continue
+			}
+			if len(tr.batch) == 0 && !rapid.Bool().Draw(t, "killed") {
+				continue
+			}
+			tr = open()
+			l, err := tr.recover(num, usedIdx, 9)
+			if err != nil || len(l) != len(order) {
+				t.Fatalf("found %d of %d, %v", len(l), len(order), err)
+			}
+			for i, x := range l {
+				if x.head != order[i] || x.taken.Sent != sent[x.head] || x.key != keys[x.head] || x.taken.Age != 4 || x.taken.Sent && x.taken.First != 2 {
+					t.Fatalf("found %+v, want head %d, sent %v", x, order[i], sent[x.head])
+				}
+			}
+		}
+	})
+}
--- a/internal/front/ring/vhost.go
+++ b/internal/front/ring/vhost.go
@@ -36,6 +36,8 @@
 	setVringEnable      = 18
 	getConfig           = 24
 	setConfig           = 25
+	getInflightFD       = 31
+	setInflightFD       = 32
 	resetDevice         = 34
 	getMaxMemSlots      = 36
 	addMemReg           = 37
@@ -48,7 +50,7 @@
 	getVringBase: "GET_VRING_BASE", setVringKick: "SET_VRING_KICK", setVringCall: "SET_VRING_CALL",
 	setVringErr: "SET_VRING_ERR", getProtocolFeatures: "GET_PROTOCOL_FEATURES",
 	setProtocolFeatures: "SET_PROTOCOL_FEATURES", getQueueNum: "GET_QUEUE_NUM", setVringEnable: "SET_VRING_ENABLE",
-	getConfig: "GET_CONFIG", setConfig: "SET_CONFIG", resetDevice: "RESET_DEVICE", getMaxMemSlots: "GET_MAX_MEM_SLOTS",
+	getConfig: "GET_CONFIG", setConfig: "SET_CONFIG", getInflightFD: "GET_INFLIGHT_FD", setInflightFD: "SET_INFLIGHT_FD", resetDevice: "RESET_DEVICE", getMaxMemSlots: "GET_MAX_MEM_SLOTS",
 	addMemReg: "ADD_MEM_REG", remMemReg: "REM_MEM_REG"}
 
 func messageName(r uint32) string {
@@ -70,10 +72,11 @@
 	protoMQ                = 1 << 0
 	protoReplyAck          = 1 << 3
 	protoConfig            = 1 << 9
+	protoInflight          = 1 << 12
 	protoResetDevice       = 1 << 13
 	protoConfigureMemSlots = 1 << 15
 
-	protocolFeatures = protoMQ | protoReplyAck | protoConfig | protoResetDevice | protoConfigureMemSlots
+	protocolFeatures = protoMQ | protoReplyAck | protoConfig | protoInflight | protoResetDevice | protoConfigureMemSlots
 )
 
 // Device feature bits.
@@ -189,13 +192,17 @@
 	return nil
 }
 
-func writeReply(conn *net.UnixConn, request uint32, payload []byte) error {
+func writeReply(conn *net.UnixConn, request uint32, payload []byte, fds ...int) error {
 	b := make([]byte, headerLen, headerLen+len(payload))
 	le := binary.LittleEndian
 	le.PutUint32(b, request)
 	le.PutUint32(b[4:], flagVersion|flagReply)
 	le.PutUint32(b[8:], uint32(len(payload)))
-	_, err := conn.Write(append(b, payload...))
+	var oob []byte
+	if len(fds) > 0 {
+		oob = unix.UnixRights(fds...)
+	}
+	_, _, err := conn.WriteMsgUnix(append(b, payload...), oob, nil)
 	return err
 }
 
--- a/internal/front/ring/vring.go
+++ b/internal/front/ring/vring.go
@@ -11,6 +11,10 @@
 
 	"appleplank/internal/block"
 	"appleplank/internal/engine"
+	"appleplank/logic"
+	"appleplank/recall"
+
+	"golang.org/x/sys/unix"
 )
 
 // vring is one queue of a client: what the front-end has told of it and, while it runs, two goroutines, one that
@@ -43,6 +47,8 @@
 	taker  chan struct{} // closed when the taking goroutine has ended
 	writer chan struct{} // and the answering one
 	buf    chain
+	track  *tracker // nil: the client keeps no region
+	resume []found  // what an earlier process had taken
 
 	mu       sync.Mutex
 	requests []request // by head
@@ -66,6 +72,9 @@
 	if err := r.place(); err != nil {
 		return err
 	}
+	if err := r.adopt(); err != nil {
+		return err
+	}
 	r.ctx, r.cancel = context.WithCancel(v.s.ctx)
 	v.run = r
 	go r.take()
@@ -107,6 +116,31 @@
 	return nil
 }
 
+// adopt finds what an earlier process had taken from this ring, where the client kept a region for it.
+func (r *running) adopt() (err error) {
+	defer fault(&err) // a region that is not ours may be cut short
+	s := r.v.s
+	if s.inflight == nil {
+		return nil
+	}
+	if r.track, err = s.inflight.track(r.v.index, r.v.num); err != nil {
+		return err
+	}
+	if r.resume, err = r.track.recover(r.v.num, r.q.usedIdx, bootNow()); err != nil {
+		return err
+	}
+	// Whatever was taken is either answered or in the region, so this is where the taking goes on.
+	r.q.lastAvail = r.q.usedIdx + uint16(len(r.resume))
+	return nil
+}
+
+// bootNow is the boot's clock, which goes on over processes.
+func bootNow() logic.Micros {
+	var t unix.Timespec
+	unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
+	return logic.Micros(t.Nano() / 1000)
+}
+
 // stop ends the taking, lets everything that was taken be answered, and gives the index of the next entry to take.
 // Answers come by their deadlines, so it ends.
 func (v *vring) stop() uint16 {
@@ -166,6 +200,14 @@
 	debug.SetPanicOnFault(true)
 	v := r.v
 	var word [8]byte
+	for _, x := range r.resume {
+		if err := r.again(x); err != nil {
+			if r.ctx.Err() == nil {
+				v.s.fail(fmt.Errorf("queue %d: taking up after a restart: %w", v.index, err))
+			}
+			return
+		}
+	}
 	for first := true; ; first = false {
 		if !(first && v.started) {
 			var err error
@@ -239,10 +281,74 @@
 		return false, err
 	}
 	if p.done || p.id {
-		r.own(head, nil, false)
-		r.answerNow(head, p)
+		if err := r.own(head, nil, false, true); err != nil {
+			return false, err
+		}
+		r.answerNow(head, p.status, p.id)
 		return true, nil
 	}
+	op, err := r.make(head, &p.parsed)
+	if err != nil {
+		return false, err
+	}
+	if err := r.own(head, op, p.advice, true); err != nil {
+		op.Release()
+		op.Release()
+		return false, err
+	}
+	r.v.s.server.engine.Take(op)
+	return true, nil
+}
+
+// again takes up a request that an earlier process had taken, as package recall decides.
+func (r *running) again(x found) error {
+	p, err := r.look(x.head)
+	if err != nil {
+		return err
+	}
+	s := r.v.s
+	if p.done || p.id {
+		if err := r.own(x.head, nil, false, false); err != nil {
+			return err
+		}
+		r.answerNow(x.head, p.status, p.id)
+		return nil
+	}
+	class, _ := s.dev.Class(p.kind, p.len)
+	x.taken.SameGroup = s.server.sameGroup(class, s.dev, &p.parsed, logic.NodeID(x.node))
+	fate, left := recall.Resume(&s.server.cfg.Logic.Classes[class], x.taken)
+	if fate != recall.Again {
+		verdict := block.Refused
+		if fate == recall.Fail {
+			verdict = block.Failed
+		}
+		op := engine.NewOp()
+		op.Kind, op.Len, op.Front, op.Tag, op.Verdict = p.kind, p.len, r, uint64(x.head), verdict
+		if err := r.own(x.head, op, p.advice, false); err != nil {
+			op.Release()
+			op.Release()
+			return err
+		}
+		op.Release() // the engine's hold: it never sees it
+		r.Done(op)
+		return nil
+	}
+	op, err := r.make(x.head, &p.parsed)
+	if err != nil {
+		return err
+	}
+	op.Key, op.Left = x.key, left
+	if err := r.own(x.head, op, p.advice, false); err != nil {
+		op.Release()
+		op.Release()
+		return err
+	}
+	s.server.engine.Take(op)
+	return nil
+}
+
+// make makes the op of a request, with its buffer, and for a write what is in it.
+func (r *running) make(head uint16, p *parsed) (*engine.Op, error) {
 	s := r.v.s
 	op := engine.NewOp()
 	op.Volume, op.Kind, op.Offset, op.Len, op.Front, op.Tag = s.dev.index, p.kind, p.offset, p.len, r, uint64(head)
@@ -253,7 +359,7 @@
 		if err := memory.Acquire(r.ctx, op.Len); err != nil {
 			op.Release()
 			op.Release()
-			return false, err
+			return nil, err
 		}
 		op.Buffer = block.NewBuffer(op.Len, memory.Release)
 	}
@@ -261,23 +367,31 @@
 		if err := r.copyOut(op.Buffer.B); err != nil {
 			op.Release()
 			op.Release()
-			return false, err
+			return nil, err
 		}
 	}
-	r.own(head, op, p.advice)
-	s.server.engine.Take(op)
-	return true, nil
+	return op, nil
 }
 
-// own notes that a chain is ours until it is answered, and counts it as taken.
-func (r *running) own(head uint16, op *engine.Op, advice bool) {
+// own notes that a chain is ours until it is answered, and unless an earlier process has, counts it as taken.
+func (r *running) own(head uint16, op *engine.Op, advice, fresh bool) (err error) {
+	defer fault(&err)
+	if fresh && r.track != nil {
+		key := r.track.take(head, bootNow())
+		if op != nil {
+			op.Key = key
+		}
+	}
 	r.mu.Lock()
 	q := &r.requests[head]
 	q.op, q.head, q.busy, q.advice = op, head, true, advice
 	q.in, q.inLen = append(q.in[:0], r.buf.in...), r.buf.inLen
 	r.out++
 	r.mu.Unlock()
-	r.q.lastAvail++
+	if fresh {
+		r.q.lastAvail++
+	}
+	return nil
 }
 
 type peeked struct {
@@ -300,18 +414,35 @@
 	if head, err = r.q.head(); err != nil {
 		return 0, p, err
 	}
+	p, err = r.readChain(head)
+	return head, p, err
+}
+
+// look reads the chain at a head that is not in the avail ring any more.
+func (r *running) look(head uint16) (p peeked, err error) {
+	defer fault(&err)
+	if err := r.v.s.touch(); err != nil {
+		return p, err
+	}
+	defer r.v.s.memMu.RUnlock()
+	return r.readChain(head)
+}
+
+// readChain reads a chain and what it asks for. The client's memory is read-locked.
+func (r *running) readChain(head uint16) (p peeked, err error) {
 	r.mu.Lock()
 	busy := r.requests[head].busy
 	r.mu.Unlock()
 	if busy {
-		return 0, p, fmt.Errorf("descriptor %d is published again before it was answered", head)
+		return p, fmt.Errorf("descriptor %d is published again before it was answered", head)
 	}
+	s := r.v.s
 	if err = r.q.read(&s.memory, head, &r.buf); err != nil {
-		return 0, p, err
+		return p, err
 	}
 	p.some = true
 	p.parsed, err = s.dev.parse(&s.memory, &r.buf)
-	return head, p, err
+	return p, err
 }
 
 func (r *running) copyOut(dst []byte) (err error) {
@@ -325,10 +456,10 @@
 }
 
 // answerNow answers what needs no node.
-func (r *running) answerNow(head uint16, p peeked) {
+func (r *running) answerNow(head uint16, status uint8, id bool) {
 	op := engine.NewOp() // carries status and head to the answering goroutine; the engine never sees it
-	op.Tag = uint64(head) | uint64(p.status)<<40
-	if p.id {
+	op.Tag = uint64(head) | uint64(status)<<40
+	if id {
 		op.Tag |= 1 << 33
 	}
 	r.mu.Lock()
@@ -353,6 +484,17 @@
 	r.nudge()
 }
 
+// Sending implements [engine.Front].
+func (r *running) Sending(op *engine.Op, node logic.NodeID) {
+	if r.track != nil && r.track.f.ours {
+		r.mu.Lock()
+		if q := &r.requests[uint16(op.Tag)]; !r.gone && q.busy && q.op == op {
+			r.track.sending(q.head, bootNow(), node)
+		}
+		r.mu.Unlock()
+	}
+}
+
 func (r *running) answer() {
 	defer close(r.writer)
 	debug.SetPanicOnFault(true)
@@ -413,12 +555,19 @@
 			return false, err
 		}
 		r.q.put(head, n)
+		if r.track != nil {
+			r.track.answered(head)
+		}
 		r.mu.Lock()
 		q.busy, q.op = false, nil
 		r.out--
 		r.mu.Unlock()
 	}
-	return r.q.publish(), nil
+	call = r.q.publish()
+	if r.track != nil {
+		r.track.over(r.q.usedIdx)
+	}
+	return call, nil
 }
 
 // writeOne writes an answer; n is how many bytes from the first writable one on it has written.
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -28,6 +28,10 @@
 	Disk   Disk
 	wg     sync.WaitGroup
 	left   atomic.Bool
+
+	region  int // descriptor of the inflight region; below zero: none
+	payload []byte
+	num     int
 }
 
 // ClientConfig is what a client negotiates.
@@ -40,6 +44,7 @@
 	Advice   bool // leave room for the advice record
 	Slots    bool // memory by ADD_MEM_REG
 	NoFlush  bool // do not negotiate FLUSH
+	Inflight bool // keep a region of what is in flight, so that [Client.Reconnect] can take up where the gateway left
 }
 
 // Disk is what the device's configuration says.
@@ -94,7 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{conn: conn, Config: cfg, memFD: -1}
+	c := &Client{conn: conn, Config: cfg, memFD: -1, region: -1}
 	if err := c.setUp(); err != nil {
 		c.Vanish()
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -166,7 +171,7 @@
 	if c.Disk.Protos, err = number(15); err != nil {
 		return err
 	}
-	c.message(16, quads(c.Disk.Protos&(1|1<<3|1<<9|1<<13|1<<15)))
+	c.message(16, quads(c.Disk.Protos&(1|1<<3|1<<9|1<<12|1<<13|1<<15)))
 	queues, err := number(17)
 	if err != nil {
 		return err
@@ -193,6 +198,9 @@
 	if err := c.message(2, quads(want&d.Features)); err != nil { // SET_FEATURES
 		return err
 	}
+	if c.mem != nil {
+		return c.showRings()
+	}
 	return c.share()
 }
 
@@ -221,16 +229,7 @@
 	if c.mem, err = unix.Mmap(fd, 0, total, unix.PROT_READ|unix.PROT_WRITE, unix.MAP_SHARED); err != nil {
 		return err
 	}
-	const gpa = 1 << 32 // the guest's addresses need not be ours
-	uva := uint64(uintptr(unsafe.Pointer(&c.mem[0])))
-	if c.Config.Slots {
-		err = c.message(37, quads(0, gpa, uint64(total), uva, 0), fd)
-	} else {
-		err = c.message(5, append(words(1, 0), quads(gpa, uint64(total), uva, 0)...), fd)
-	}
-	if err != nil {
-		return err
-	}
+	c.num = num
 	for i := range c.Config.Queues {
 		q := &clientQueue{c: c, index: i, num: num, done: make([]func(Reply), depth), size: make([]int, depth), kind: make([]uint32, depth)}
 		q.cond = sync.NewCond(&q.mu)
@@ -248,22 +247,87 @@
 			return err
 		}
 		c.queues = append(c.queues, q)
+		c.wg.Add(1)
+		go q.collect()
+	}
+	return c.showRings()
+}
+
+// showRings tells the gateway of memory, region and rings, and kicks them.
+func (c *Client) showRings() (err error) {
+	const gpa = 1 << 32 // the guest's addresses need not be ours
+	uva, total := uint64(uintptr(unsafe.Pointer(&c.mem[0]))), uint64(len(c.mem))
+	if c.Config.Slots {
+		err = c.message(37, quads(0, gpa, total, uva, 0), c.memFD)
+	} else {
+		err = c.message(5, append(words(1, 0), quads(gpa, total, uva, 0)...), c.memFD)
+	}
+	if err != nil {
+		return err
+	}
+	if c.Config.Inflight && c.region < 0 {
+		if err := c.askRegion(); err != nil {
+			return err
+		}
+	}
+	if c.region >= 0 {
+		if err := c.message(32, c.payload, c.region); err != nil {
+			return err
+		}
+	}
+	for i, q := range c.queues {
 		user := func(b []byte) uint64 { return uint64(uintptr(unsafe.Pointer(&b[0]))) }
 		n := uint32(i)
-		c.message(8, words(n, uint32(num)))
-		c.message(10, words(n, 0))
+		c.message(8, words(n, uint32(c.num)))
+		c.message(10, words(n, uint32(q.usedIdx())))
 		c.message(9, append(words(n, 0), quads(user(q.desc), user(q.used), user(q.avail), 0)...))
 		c.message(13, quads(uint64(i)), fdOf(q.call))
 		c.message(12, quads(uint64(i)), fdOf(q.kick))
 		if err := c.message(18, words(n, 1)); err != nil {
 			return err
 		}
-		c.wg.Add(1)
-		go q.collect(place)
+		q.ring()
+		q.call.Write(quads(1)) // answers may have been published without a call
+	}
+	return nil
+}
+
+// askRegion has the gateway make an inflight region.
+func (c *Client) askRegion() error {
+	shape := append(quads(0, 0), byte(len(c.queues)), byte(len(c.queues)>>8), byte(c.num), byte(c.num>>8))
+	if err := c.message(31, shape); err != nil {
+		return err
 	}
+	var b [12 + 20]byte
+	oob := make([]byte, unix.CmsgSpace(4))
+	n, oobn, _, _, err := c.conn.ReadMsgUnix(b[:], oob)
+	if err != nil || n != len(b) {
+		return fmt.Errorf("GET_INFLIGHT_FD: %d bytes, %w", n, err)
+	}
+	cs, err := unix.ParseSocketControlMessage(oob[:oobn])
+	if err != nil || len(cs) != 1 {
+		return fmt.Errorf("GET_INFLIGHT_FD: no descriptor, %w", err)
+	}
+	fds, err := unix.ParseUnixRights(&cs[0])
+	if err != nil || len(fds) != 1 {
+		return fmt.Errorf("GET_INFLIGHT_FD: %d descriptors, %w", len(fds), err)
+	}
+	c.region, c.payload = fds[0], append([]byte(nil), b[12:]...)
 	return nil
 }
 
+// Reconnect connects anew to a gateway that was started again, with memory, rings and region as they are. What was out
+// is answered by the new process.
+func (c *Client) Reconnect(path string) error {
+	conn, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return err
+	}
+	c.conn.Close()
+	c.conn = conn
+	return c.setUp()
+}
+
 // fdOf reads a file's descriptor without making it wait, as File.Fd would.
 func fdOf(f *os.File) (fd int) {
 	rc, err := f.SyscallConn()
@@ -370,7 +434,7 @@
 }
 
 // collect takes answers until the connection is gone.
-func (q *clientQueue) collect(int) {
+func (q *clientQueue) collect() {
 	defer q.c.wg.Done()
 	var b [8]byte
 	for {
@@ -513,6 +577,9 @@
 	if c.memFD >= 0 {
 		unix.Close(c.memFD)
 	}
+	if c.region >= 0 {
+		unix.Close(c.region)
+	}
 	if c.mem != nil {
 		unix.Munmap(c.mem)
 	}
--- a/recall/recall.go
+++ b/recall/recall.go
@@ -149,3 +149,47 @@
 	}
 	return out
 }
+
+// Taken is a request that an earlier process had taken from a client and not answered, as the region that the client
+// has kept tells of it.
+type Taken struct {
+	Known     bool         // the region is ours and says what follows; otherwise only that it was taken
+	Sent      bool         // an attempt was begun, or was about to be
+	Age       logic.Micros // since it was taken
+	First     logic.Micros // since the first attempt
+	SameGroup bool         // only nodes of the group that drops its repeats hold its data
+}
+
+// Fate is what becomes of such a request.
+type Fate uint8
+
+const (
+	Again  Fate = iota // it is taken anew, within the time that is left
+	Refuse             // a retry is harmless
+	Fail               // no promise
+)
+
+// rememberMargin is how much of the time for which nodes drop repeats must be left for a repeat to be worth sending.
+const rememberMargin = 200 * ms
+
+// Resume decides on a request found in a client's ring after a restart; left is the time it has from now on. What was
+// never sent is sent; what may have run follows its class.
+func Resume(c *logic.Class, t Taken) (f Fate, left logic.Micros) {
+	if left = c.Deadline; t.Known {
+		left -= max(t.Age, 0)
+	}
+	sent := t.Sent || !t.Known
+	switch {
+	case sent && c.Repeat == logic.Fragile:
+		return Fail, 0
+	case sent && c.Repeat == logic.Dedup:
+		remembered := c.RepeatWindow - max(t.First, 0)
+		if !t.Known || !t.SameGroup || remembered < rememberMargin || left <= 0 {
+			return Fail, 0
+		}
+		return Again, min(left, remembered)
+	case left <= 0:
+		return Refuse, 0
+	}
+	return Again, left
+}
--- a/recall/recall_test.go
+++ b/recall/recall_test.go
@@ -226,3 +226,34 @@
 		t.Error("the memory that was given was changed")
 	}
 }
+
+func TestResume(t *testing.T) {
+	safe := logic.Class{Deadline: 2 * sec}
+	keyed := logic.Class{Deadline: 2 * sec, Repeat: logic.Dedup, RepeatWindow: sec}
+	unsafe := logic.Class{Deadline: 2 * sec, Repeat: logic.Fragile}
+	for name, c := range map[string]struct {
+		class logic.Class
+		taken Taken
+		fate  Fate
+		left  logic.Micros
+	}{
+		"never sent":                   {unsafe, Taken{Known: true, Age: sec}, Again, sec},
+		"never sent, too old":          {unsafe, Taken{Known: true, Age: 3 * sec}, Refuse, 0},
+		"safe, sent":                   {safe, Taken{Known: true, Sent: true, Age: sec, First: sec}, Again, sec},
+		"safe, sent, too old":          {safe, Taken{Known: true, Sent: true, Age: 2 * sec}, Refuse, 0},
+		"safe, a foreign region":       {safe, Taken{}, Again, 2 * sec},
+		"keyed, remembered":            {keyed, Taken{Known: true, Sent: true, Age: 500 * ms, First: 400 * ms, SameGroup: true}, Again, 600 * ms},
+		"keyed, barely remembered":     {keyed, Taken{Known: true, Sent: true, Age: 900 * ms, First: 900 * ms, SameGroup: true}, Fail, 0},
+		"keyed, forgotten":             {keyed, Taken{Known: true, Sent: true, Age: 1500 * ms, First: 1500 * ms, SameGroup: true}, Fail, 0},
+		"keyed, another group":         {keyed, Taken{Known: true, Sent: true}, Fail, 0},
+		"keyed, a foreign region":      {keyed, Taken{SameGroup: true}, Fail, 0},
+		"keyed, sent, deadline passed": {keyed, Taken{Known: true, Sent: true, Age: 3 * sec, SameGroup: true}, Fail, 0},
+		"unsafe, sent":                 {unsafe, Taken{Known: true, Sent: true}, Fail, 0},
+		"unsafe, a foreign region":     {unsafe, Taken{}, Fail, 0},
+		"a clock that went backward":   {safe, Taken{Known: true, Age: -sec}, Again, 2 * sec},
+	} {
+		if f, left := Resume(&c.class, c.taken); f != c.fate || left != c.left {
+			t.Errorf("%s: %d with %d left, want %d with %d", name, f, left, c.fate, c.left)
+		}
+	}
+}
