--- a/cmd/appleplank/serve.go
+++ b/cmd/appleplank/serve.go
@@ -12,10 +12,13 @@
 
 func serveCommand(logger func() (*zap.Logger, error)) *cobra.Command {
 	var path string
+	var takeover bool
 	c := &cobra.Command{
 		Use: "serve -c FILE", Short: "Run the gateway", Args: cobra.NoArgs,
 		Long: "Run the gateway. SIGTERM drains it: nothing new is taken, all it holds is answered, and it exits with status 0\n" +
-			"within the drain time of the settings. A second SIGTERM exits at once, with status 1.",
+			"within the drain time of the settings. A second SIGTERM exits at once, with status 1.\n" +
+			"With --takeover it starts beside the process that holds its state folder, takes over that one's sockets, clients\n" +
+			"and state, and goes on; if it does not come up, the old one does.",
 		RunE: func(*cobra.Command, []string) error {
 			log, err := logger()
 			if err != nil {
@@ -26,7 +29,11 @@
 			if err != nil {
 				return err
 			}
-			g, err := gateway.New(cfg, log)
+			open := gateway.New
+			if takeover {
+				open = gateway.Takeover
+			}
+			g, err := open(cfg, log)
 			if err != nil {
 				return err
 			}
@@ -38,6 +45,7 @@
 		},
 	}
 	c.Flags().StringVarP(&path, "config", "c", "", "settings script")
+	c.Flags().BoolVar(&takeover, "takeover", false, "take over from the process that runs")
 	c.MarkFlagRequired("config")
 	return c
 }
--- a/internal/front/ring/blk.go
+++ b/internal/front/ring/blk.go
@@ -45,6 +45,8 @@
 	op     *engine.Op
 	head   uint16
 	busy   bool // the client's descriptors are ours
+	sent   bool // an attempt was begun
+	class  int
 	in     []seg
 	inLen  uint64
 	advice bool
--- a/internal/front/ring/inflight.go
+++ b/internal/front/ring/inflight.go
@@ -56,25 +56,30 @@
 	queues  int
 	entries int
 	ours    bool // the trailer is there and can be relied on
+	client  bool // the client keeps it; otherwise it is for a process that takes over
+	offset  uint64
+	fd      int
 }
 
 func (f *inflight) trailer() int { return f.queues * queueRegion(f.entries) }
 
 var errInflight = errors.New("the inflight region cannot be used")
 
-// newInflight makes a region; the descriptor is the caller's.
-func newInflight(queues, entries int, nonce uint64) (f *inflight, fd int, err error) {
+// newInflight makes a region.
+func newInflight(queues, entries int, nonce uint64) (f *inflight, err error) {
 	if queues < 1 || entries < 1 || entries > mostQueue {
-		return nil, -1, fmt.Errorf("%w: %d queues of %d entries", errInflight, queues, entries)
+		return nil, fmt.Errorf("%w: %d queues of %d entries", errInflight, queues, entries)
 	}
 	f = &inflight{queues: queues, entries: entries, ours: true}
 	size := f.trailer() + trailerHeader + trailerRecord*queues*entries
 	if size > mostInflight {
-		return nil, -1, fmt.Errorf("%w: %d bytes", errInflight, size)
+		return nil, fmt.Errorf("%w: %d bytes", errInflight, size)
 	}
-	if fd, err = unix.MemfdCreate("inflight", unix.MFD_CLOEXEC|unix.MFD_ALLOW_SEALING); err != nil {
-		return nil, -1, err
+	fd, err := unix.MemfdCreate("inflight", unix.MFD_CLOEXEC|unix.MFD_ALLOW_SEALING)
+	if err != nil {
+		return nil, err
 	}
+	f.fd = fd
 	if err = unix.Ftruncate(fd, int64(size)); err == nil {
 		_, err = unix.FcntlInt(uintptr(fd), unix.F_ADD_SEALS, unix.F_SEAL_SHRINK|unix.F_SEAL_GROW|unix.F_SEAL_SEAL)
 	}
@@ -83,7 +88,7 @@
 	}
 	if err != nil {
 		unix.Close(fd)
-		return nil, -1, err
+		return nil, err
 	}
 	le := binary.LittleEndian
 	h := f.mem[f.trailer():]
@@ -93,10 +98,10 @@
 	le.PutUint16(h[14:], uint16(entries))
 	le.PutUint64(h[16:], nonce)
 	le.PutUint32(h[24:], crc32.Checksum(h[:24], crc32.MakeTable(crc32.Castagnoli)))
-	return f, fd, nil
+	return f, nil
 }
 
-// openInflight maps a region that a client hands back.
+// openInflight maps a region that a client or an earlier process hands over; the descriptor stays the caller's.
 func openInflight(fd int, size, offset uint64, queues, entries int) (*inflight, error) {
 	f := &inflight{queues: queues, entries: entries}
 	if queues < 1 || entries < 1 || entries > mostQueue || size > mostInflight || offset > 1<<40 || uint64(f.trailer()) > size {
@@ -116,7 +121,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", errInflight, err)
 	}
-	f.mem = mem
+	f.mem, f.offset = mem, offset
+	if f.fd, err = unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0); err != nil {
+		unix.Munmap(mem)
+		return nil, err
+	}
 	seals, err := unix.FcntlInt(uintptr(fd), unix.F_GET_SEALS, 0)
 	at := f.trailer()
 	if err == nil && seals&unix.F_SEAL_SHRINK != 0 && len(mem) == at+trailerHeader+trailerRecord*queues*entries {
@@ -127,7 +136,10 @@
 	return f, nil
 }
 
-func (f *inflight) close() { unix.Munmap(f.mem) }
+func (f *inflight) close() {
+	unix.Munmap(f.mem)
+	unix.Close(f.fd)
+}
 
 // tracker is one queue's part of a region. Its methods but sending are for the queue's own goroutines.
 type tracker struct {
--- a/internal/front/ring/memory.go
+++ b/internal/front/ring/memory.go
@@ -13,6 +13,13 @@
 	gpa, size, uva uint64
 	mem            []byte // size bytes at gpa
 	mapped         []byte // what was mapped, from the file's start
+	offset         uint64
+	fd             int // ours, for a process that takes over
+}
+
+func (r *region) close() {
+	unix.Munmap(r.mapped)
+	unix.Close(r.fd)
 }
 
 // memory is all that a client has shared. It is read and written only by copying, by goroutines in which a fault
@@ -23,7 +30,7 @@
 	most    uint64
 }
 
-// add maps one region; the descriptor may be closed afterwards.
+// add maps one region; the descriptor stays the caller's.
 func (m *memory) add(gpa, size, uva, offset uint64, fd int) error {
 	if size == 0 || gpa+size < gpa || uva+size < uva || offset+size < offset || offset+size > 1<<62 {
 		return fmt.Errorf("memory region of %d bytes at %#x cannot be", size, gpa)
@@ -48,7 +55,12 @@
 	if err != nil {
 		return fmt.Errorf("memory region of %d bytes at %#x: mmap: %w", size, gpa, err)
 	}
-	m.regions = append(m.regions, region{gpa, size, uva, b[offset:], b})
+	own, err := unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		unix.Munmap(b)
+		return fmt.Errorf("memory region of %d bytes at %#x: %w", size, gpa, err)
+	}
+	m.regions = append(m.regions, region{gpa, size, uva, b[offset:], b, offset, own})
 	m.total += size
 	slices.SortFunc(m.regions, func(a, b region) int {
 		if a.gpa < b.gpa {
@@ -63,7 +75,7 @@
 func (m *memory) remove(gpa, size, uva uint64) error {
 	for i, r := range m.regions {
 		if r.gpa == gpa && r.size == size && r.uva == uva {
-			unix.Munmap(r.mapped)
+			r.close()
 			m.total -= size
 			m.regions = slices.Delete(m.regions, i, i+1)
 			return nil
@@ -73,8 +85,8 @@
 }
 
 func (m *memory) clear() {
-	for _, r := range m.regions {
-		unix.Munmap(r.mapped)
+	for i := range m.regions {
+		m.regions[i].close()
 	}
 	m.regions, m.total = nil, 0
 }
--- a/internal/front/ring/raw_test.go
+++ b/internal/front/ring/raw_test.go
@@ -98,11 +98,11 @@
 	b := &back{e: e, auto: auto}
 	e.SetBack(b)
 	e.Nodes([]logic.Node{{ID: 1, State: logic.Ready}})
-	srv, err := ring.Listen(cfg, e, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	srv, err := ring.Listen(ctx, cfg, e, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(ctx) }()
 	t.Cleanup(func() {
--- a/internal/front/ring/server.go
+++ b/internal/front/ring/server.go
@@ -30,8 +30,11 @@
 	log        *zap.Logger
 	mostMemory int64
 	volumes    []*listener
-	Sessions   atomic.Int64 // now
-	Ended      atomic.Int64 // with an error, since the start
+	ctx        context.Context // ends all sessions
+	frozen     atomic.Bool     // nobody is let in, for now
+	handed     atomic.Bool     // another process has it all
+	Sessions   atomic.Int64    // now
+	Ended      atomic.Int64    // with an error, since the start
 }
 
 type listener struct {
@@ -40,11 +43,18 @@
 	mu    sync.Mutex
 	live  map[*session]bool
 	drain bool
+
+	adopted []*session // taken over, not begun
+}
+
+// New makes a server without sockets; its sessions end with ctx.
+func New(ctx context.Context, cfg *settings.Config, e *engine.Engine, log *zap.Logger) *Server {
+	return &Server{ctx: ctx, cfg: cfg, engine: e, log: log, mostMemory: cfg.Bounds.MostMemory}
 }
 
 // Listen opens the sockets of all volumes that have one.
-func Listen(cfg *settings.Config, e *engine.Engine, log *zap.Logger) (*Server, error) {
-	s := &Server{cfg: cfg, engine: e, log: log, mostMemory: cfg.Bounds.MostMemory}
+func Listen(ctx context.Context, cfg *settings.Config, e *engine.Engine, log *zap.Logger) (*Server, error) {
+	s := New(ctx, cfg, e, log)
 	for i := range cfg.Volumes {
 		v := &cfg.Volumes[i]
 		if v.Socket == "" {
@@ -102,42 +112,56 @@
 	defer stop()
 	defer clients.Wait()
 	log := s.log.With(zap.String("volume", v.dev.Name))
+	for _, ss := range v.adopted {
+		clients.Go(func() error { s.serveOne(v, ss, ss.begin()); return nil })
+	}
+	v.adopted = nil
 	for n := 1; ; n++ {
 		c, err := v.l.AcceptUnix()
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if s.frozen.Load() {
+				if pause(ctx, 5*time.Millisecond); s.handed.Load() {
+					return nil
+				}
+				continue
+			}
 			log.Warn("accept", zap.Error(err)) // out of descriptors, say: what is open goes on
 			if !pause(ctx, 100*time.Millisecond) {
 				return nil
 			}
 			continue
 		}
-		clients.Go(func() error {
-			ss := newSession(ctx, s, &v.dev, c, log.With(zap.Int("client", n)))
-			v.mu.Lock()
-			v.live[ss] = true
-			drain := v.drain
-			v.mu.Unlock()
-			if drain {
-				c.Close()
-			}
-			s.Sessions.Add(1)
-			ss.log.Info("client came")
-			err := ss.serve()
-			s.Sessions.Add(-1)
-			v.mu.Lock()
-			delete(v.live, ss)
-			v.mu.Unlock()
-			if err != nil {
-				s.Ended.Add(1)
-				ss.log.Warn("client closed", zap.Error(err))
-			} else {
-				ss.log.Info("client left")
-			}
-			return nil
-		})
+		ss := newSession(ctx, s, &v.dev, c, log.With(zap.Int("client", n)))
+		clients.Go(func() error { s.serveOne(v, ss, nil); return nil })
+	}
+}
+
+// serveOne serves a client until it leaves.
+func (s *Server) serveOne(v *listener, ss *session, err error) {
+	v.mu.Lock()
+	v.live[ss] = true
+	if v.drain {
+		ss.conn.Close()
+	}
+	v.mu.Unlock()
+	s.Sessions.Add(1)
+	ss.log.Info("client came")
+	if err != nil {
+		ss.fail(err)
+	}
+	err = ss.serve()
+	s.Sessions.Add(-1)
+	v.mu.Lock()
+	delete(v.live, ss)
+	v.mu.Unlock()
+	if err != nil {
+		s.Ended.Add(1)
+		ss.log.Warn("client closed", zap.Error(err))
+	} else {
+		ss.log.Info("client left")
 	}
 }
 
--- a/internal/front/ring/session.go
+++ b/internal/front/ring/session.go
@@ -38,10 +38,12 @@
 	draining  atomic.Bool  // nothing more is taken
 	callMu    sync.RWMutex // guards the rings' call and error descriptors against being closed in use
 	messageNo int
+	freezes   chan chan *frozen // to stand still, for a process that takes over
+	over      chan struct{}     // closed when the session has ended
 }
 
 func newSession(ctx context.Context, srv *Server, dev *device, conn *net.UnixConn, log *zap.Logger) *session {
-	s := &session{server: srv, dev: dev, conn: conn, log: log}
+	s := &session{server: srv, dev: dev, conn: conn, log: log, freezes: make(chan chan *frozen, 1), over: make(chan struct{})}
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	s.memory.most = uint64(srv.mostMemory)
 	for i := range dev.Queues {
@@ -59,6 +61,7 @@
 // serve speaks with the client until it leaves. When it returns nothing of the session is left but attempts that
 // still run at nodes, which touch none of the client's memory.
 func (s *session) serve() error {
+	defer close(s.over)
 	debug.SetPanicOnFault(true) // the client may take its memory away
 	stop := context.AfterFunc(s.ctx, func() { s.conn.Close() })
 	defer stop()
@@ -66,7 +69,20 @@
 	buf := make([]byte, mostPayload)
 	for {
 		var m message
-		if m, err = readMessage(s.conn, buf); err != nil {
+		if m, err = readMessage(s.conn, buf); err == errPaused {
+			select {
+			case ask := <-s.freezes:
+				if !s.standStill(ask) {
+					err = io.EOF // another process speaks with the client now
+				}
+			default:
+				s.conn.SetReadDeadline(time.Time{})
+			}
+			if err == errPaused {
+				continue
+			}
+		}
+		if err != nil {
 			break
 		}
 		s.messageNo++
@@ -174,6 +190,17 @@
 	}
 }
 
+// ownEntries is the size of a region of the session's own; a ring that is larger has none.
+const ownEntries = 1024
+
+// ownInflight makes a region of this session's own where the client keeps none: a process that takes over needs it.
+func (s *session) ownInflight() (err error) {
+	if s.inflight == nil {
+		s.inflight, err = newInflight(len(s.rings), ownEntries, s.server.nonce())
+	}
+	return err
+}
+
 func (s *session) ringsRun() bool {
 	for _, v := range s.rings {
 		if v.run != nil {
@@ -192,17 +219,16 @@
 	if s.ringsRun() {
 		return errors.New("GET_INFLIGHT_FD while rings run")
 	}
-	f, fd, err := newInflight(queues, entries, s.server.nonce())
+	f, err := newInflight(queues, entries, s.server.nonce())
 	if err != nil {
 		return err
 	}
-	defer unix.Close(fd)
 	s.dropInflight()
-	s.inflight = f
+	f.client, s.inflight = true, f
 	b := make([]byte, len(m.payload))
 	copy(b[16:], m.payload[16:])
 	binary.LittleEndian.PutUint64(b, uint64(len(f.mem)))
-	if err := writeReply(s.conn, m.request, b, fd); err != nil {
+	if err := writeReply(s.conn, m.request, b, f.fd); err != nil {
 		return err
 	}
 	return errReplied
@@ -222,7 +248,7 @@
 		return err
 	}
 	s.dropInflight()
-	s.inflight = f
+	f.client, s.inflight = true, f
 	return nil
 }
 
--- a/internal/front/ring/track_test.go
+++ b/internal/front/ring/track_test.go
@@ -3,7 +3,6 @@
 import (
 	"testing"
 
-	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
 )
 
@@ -12,14 +11,13 @@
 func TestTracker(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const num = 8
-		f, fd, err := newInflight(2, num, 99)
+		f, err := newInflight(2, num, 99)
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer f.close()
-		defer unix.Close(fd)
 		open := func() *tracker {
-			g, err := openInflight(fd, uint64(len(f.mem)), 0, 2, num)
+			g, err := openInflight(f.fd, uint64(len(f.mem)), 0, 2, num)
 			if err != nil || !g.ours {
 				t.Fatalf("the region is not known again: %v", err)
 			}
--- a/internal/front/ring/vhost.go
+++ b/internal/front/ring/vhost.go
@@ -10,6 +10,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -150,6 +152,12 @@
 // readFull fills b and collects descriptors that come with it.
 func readFull(conn *net.UnixConn, b []byte, fds *[]int) error {
 	oob := make([]byte, unix.CmsgSpace(4*(mostFDs+1)))
+	paused := false
+	defer func() {
+		if paused {
+			conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}()
 	for got := 0; got < len(b); {
 		n, oobn, flags, _, err := conn.ReadMsgUnix(b[got:], oob)
 		if oobn > 0 {
@@ -157,6 +165,14 @@
 				err = perr
 			}
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if got == 0 && len(*fds) == 0 && len(b) == headerLen {
+				return errPaused
+			}
+			conn.SetReadDeadline(time.Time{}) // asked to stand still in the middle of a message: it is finished first
+			paused = true
+			continue
+		}
 		if err != nil && !errors.Is(err, io.EOF) { // the net package wraps it
 			return err
 		}
@@ -220,4 +236,7 @@
 func (m *message) u32(at int) uint32 { return binary.LittleEndian.Uint32(m.payload[at:]) }
 func (m *message) u64(at int) uint64 { return binary.LittleEndian.Uint64(m.payload[at:]) }
 
+// errPaused says that reading was to stand still, between two messages.
+var errPaused = errors.New("paused")
+
 var errNotMapped = errors.New("address is not in the client's memory")
--- a/internal/front/ring/vring.go
+++ b/internal/front/ring/vring.go
@@ -120,7 +120,10 @@
 func (r *running) adopt() (err error) {
 	defer fault(&err) // a region that is not ours may be cut short
 	s := r.v.s
-	if s.inflight == nil {
+	if err := s.ownInflight(); err != nil {
+		return err
+	}
+	if !s.inflight.client && int(r.v.num) > s.inflight.entries {
 		return nil
 	}
 	if r.track, err = s.inflight.track(r.v.index, r.v.num); err != nil {
@@ -129,7 +132,11 @@
 	if r.resume, err = r.track.recover(r.v.num, r.q.usedIdx, bootNow()); err != nil {
 		return err
 	}
-	// Whatever was taken is either answered or in the region, so this is where the taking goes on.
+	// Whatever was taken is either answered or in the region, so this is where the taking goes on. A region of ours that
+	// has nothing knows no better than the client where its ring stands.
+	if len(r.resume) == 0 && !s.inflight.client {
+		return nil
+	}
 	r.q.lastAvail = r.q.usedIdx + uint16(len(r.resume))
 	return nil
 }
@@ -141,13 +148,9 @@
 	return logic.Micros(t.Nano() / 1000)
 }
 
-// stop ends the taking, lets everything that was taken be answered, and gives the index of the next entry to take.
-// Answers come by their deadlines, so it ends.
-func (v *vring) stop() uint16 {
+// halt ends the taking; answers go on.
+func (v *vring) halt() {
 	r := v.run
-	if r == nil {
-		return v.base
-	}
 	r.cancel()
 	if v.kick != nil {
 		v.kick.SetReadDeadline(time.Unix(1, 0))
@@ -157,6 +160,51 @@
 	r.stopping = true
 	r.mu.Unlock()
 	r.nudge()
+}
+
+// stop ends the taking, lets everything that was taken be answered, and gives the index of the next entry to take.
+// Answers come by their deadlines, so it ends.
+func (v *vring) stop() uint16 {
+	if v.run == nil {
+		return v.base
+	}
+	v.halt()
+	return v.end()
+}
+
+// settle ends a halted ring that is to go on elsewhere. What is not answered by the given time is given up here, and
+// stands in the region; where there is none it is waited for.
+func (v *vring) settle(until time.Time) {
+	r := v.run
+	if r.track != nil {
+		t := time.AfterFunc(time.Until(until), func() {
+			r.mu.Lock()
+			if !r.binding() {
+				r.gone = true
+			}
+			r.mu.Unlock()
+			r.nudge()
+		})
+		defer t.Stop()
+	}
+	v.end()
+}
+
+// binding tells whether an unsafe request is out that has been sent: only this process can give it an answer that says
+// how it ended. The caller holds mu.
+func (r *running) binding() bool {
+	for i := range r.requests {
+		if q := &r.requests[i]; q.busy && q.op != nil && q.sent &&
+			r.v.s.server.cfg.Logic.Classes[q.class].Repeat == logic.Fragile {
+			return true
+		}
+	}
+	return false
+}
+
+// end waits until everything is answered or given up.
+func (v *vring) end() uint16 {
+	r := v.run
 	<-r.writer
 	v.base = r.q.lastAvail
 	v.run = nil
@@ -216,6 +264,9 @@
 			} else if !pause(r.ctx, 500*time.Microsecond) {
 				err = r.ctx.Err()
 			}
+			if err == nil {
+				v.started = true // also where the ring is halted now: the kick is gone, and the next life must look by itself
+			}
 			if r.ctx.Err() != nil {
 				return
 			}
@@ -223,7 +274,6 @@
 				v.s.fail(fmt.Errorf("queue %d: kick: %w", v.index, err))
 				return
 			}
-			v.started = true
 		}
 		for more := true; more; {
 			for {
@@ -384,7 +434,7 @@
 	}
 	r.mu.Lock()
 	q := &r.requests[head]
-	q.op, q.head, q.busy, q.advice = op, head, true, advice
+	q.op, q.head, q.busy, q.advice, q.sent = op, head, true, advice, false
 	q.in, q.inLen = append(q.in[:0], r.buf.in...), r.buf.inLen
 	r.out++
 	r.mu.Unlock()
@@ -489,6 +539,7 @@
 	if r.track != nil && r.track.f.ours {
 		r.mu.Lock()
 		if q := &r.requests[uint16(op.Tag)]; !r.gone && q.busy && q.op == op {
+			q.sent, q.class = true, op.Class
 			r.track.sending(q.head, bootNow(), node)
 		}
 		r.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,10 +40,32 @@
 
 	store *state.Store // nil: nothing is kept
 	Saves SaveCounts
+
+	front     context.Context // ends all clients' sessions
+	stopFront context.CancelFunc
+	takeover  bool          // begins by taking over from a running process
+	waiting   bool          // logic is told of no node yet; under mu
+	handed    chan struct{} // closed when another process has taken over
 }
 
 // New makes a gateway and opens its sockets, so that what is wrong with them is told at once.
 func New(cfg *settings.Config, log *zap.Logger) (*Gateway, error) {
+	g, err := build(cfg, log)
+	if err != nil {
+		return nil, err
+	}
+	if err := g.recall(); err != nil {
+		return nil, err
+	}
+	if g.Rings, err = ring.Listen(g.front, cfg, g.Engine, log.Named("ring")); err != nil {
+		g.closeStore()
+		return nil, err
+	}
+	return g, nil
+}
+
+// build makes a gateway without sockets and state.
+func build(cfg *settings.Config, log *zap.Logger) (*Gateway, error) {
 	var seed [24]byte
 	rand.Read(seed[:])
 	le := binary.LittleEndian
@@ -51,7 +73,8 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{cfg: cfg, log: log, Engine: e, nodes: map[logic.NodeID]*initiator.Node{}}
+	g := &Gateway{cfg: cfg, log: log, Engine: e, nodes: map[logic.NodeID]*initiator.Node{}, handed: make(chan struct{})}
+	g.front, g.stopFront = context.WithCancel(context.Background())
 	var known []members.Known
 	for _, n := range cfg.Nodes {
 		known = append(known, members.Known{ID: n.ID, NQN: n.NQN, Address: n.Address, Zone: n.Zone, Cell: n.Cell, Rating: n.Rating})
@@ -88,13 +111,6 @@
 		}
 	}
 	e.SetBack(g)
-	if err := g.recall(); err != nil {
-		return nil, err
-	}
-	if g.Rings, err = ring.Listen(cfg, e, log.Named("ring")); err != nil {
-		g.closeStore()
-		return nil, err
-	}
 	return g, nil
 }
 
@@ -110,15 +126,38 @@
 	if g.direct != nil {
 		nodes.Go(func() error { return g.direct.Run(back) })
 	}
+	stop := context.AfterFunc(hard, g.stopFront)
+	defer stop()
+	over := func(err error) error {
+		g.stopFront()
+		stopBack()
+		nodes.Wait()
+		g.Engine.Close()
+		g.closeStore()
+		return err
+	}
+	if g.takeover {
+		if err := g.takeOver(ctx); err != nil {
+			return over(fmt.Errorf("taking over: %w", err))
+		}
+	}
 	g.news(func(*members.Members) {})
 	if g.store != nil {
 		nodes.Go(func() error { g.keep(back); return nil })
+		nodes.Go(func() error { return g.listenControl(back) })
 	}
-	front, stopFront := context.WithCancel(hard)
-	defer stopFront()
+	// Requests that come before the nodes are connected to would find them all down, and logic leaves such a node alone
+	// for a while.
+	g.reach(ctx)
 	var rings errgroup.Group
-	rings.Go(func() error { return g.Rings.Serve(front) })
-	<-ctx.Done()
+	rings.Go(func() error { return g.Rings.Serve(g.front) })
+	select {
+	case <-ctx.Done():
+	case <-g.handed:
+		g.log.Info("another process has taken over")
+		rings.Wait()
+		return over(nil)
+	}
 	g.log.Info("draining")
 	g.Rings.StopTaking()
 	drain, cancel := context.WithTimeout(hard, time.Duration(g.cfg.Times.Drain)*time.Microsecond)
@@ -130,7 +169,7 @@
 		g.log.Info("drained")
 		pause(hard, 20*time.Millisecond) // for answers on their way to the clients' rings
 	}
-	stopFront()
+	g.stopFront()
 	rings.Wait()
 	quiet := g.Engine.Quiet() // before connections are cut, which ends what is out without telling how
 	stopBack()
@@ -143,6 +182,31 @@
 	return err
 }
 
+// reach waits until every node that is listed was connected to or could not be, for as long as a connection may take.
+func (g *Gateway) reach(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(g.cfg.Times.Connect)*time.Microsecond)
+	defer cancel()
+	for g.direct != nil && !g.listedOnce() && ctx.Err() == nil {
+		pause(ctx, time.Millisecond)
+	}
+	for _, id := range g.order {
+		if g.address(id) == "" {
+			continue
+		}
+		select {
+		case <-g.nodes[id].Tried():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gateway) listedOnce() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Listing()
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -171,7 +235,10 @@
 func (g *Gateway) news(learn func(m *members.Members)) {
 	g.mu.Lock()
 	learn(g.members)
-	list := g.members.News(nil)
+	var list []logic.Node
+	if !g.waiting {
+		list = g.members.News(nil)
+	}
 	g.mu.Unlock()
 	for _, n := range list {
 		g.log.Info("node", zap.Uint32("node", uint32(n.ID)), zap.String("state", [...]string{"gone", "ready", "draining"}[n.State]))
--- a/internal/gateway/keep.go
+++ b/internal/gateway/keep.go
@@ -9,7 +9,6 @@
 
 	"appleplank/internal/state"
 	"appleplank/logic"
-	"appleplank/members"
 	"appleplank/recall"
 
 	"go.uber.org/zap"
@@ -49,12 +48,17 @@
 		log.Warn("cannot be written; limits start at their lowest", zap.Error(err))
 		g.Saves.Failed.Add(1)
 	}
+	return g.remember(st, clean, quiet, marked)
+}
+
+// remember gives engine and members what of a state still counts.
+func (g *Gateway) remember(st *state.State, clean, quiet, marked bool) error {
+	log := g.log.Named("state")
 	age, how, complaint := recall.Age(st.Written, state.Now())
 	if complaint != "" {
 		log.Warn("how old it is cannot be told; most of it counts for nothing", zap.String("complaint", complaint))
 	}
 	memory := recall.Fade(st.Logic, age, how, recall.Limits(clean, marked, how))
-	now := g.Engine.Now()
 	known := st.Members
 	for i := range known {
 		for _, at := range []*logic.Micros{&known[i].Started, &known[i].Refused} {
@@ -63,7 +67,9 @@
 			}
 		}
 	}
-	g.members.Remember(now, known)
+	g.mu.Lock()
+	g.members.Remember(g.Engine.Now(), known)
+	g.mu.Unlock()
 	if err := g.Engine.Remember(&memory, !quiet); err != nil {
 		log.Warn("started without", zap.Error(err))
 		return g.Engine.Remember(nil, true)
@@ -98,11 +104,7 @@
 
 // save writes what is known now. Clean says that nothing will be sent after it, quiet that nothing sent may still run.
 func (g *Gateway) save(clean, quiet bool) error {
-	m, now := g.Engine.Learned()
-	g.mu.Lock()
-	known := g.members.Memory(now)
-	g.mu.Unlock()
-	err := g.store.Save(&state.State{Gateway: g.cfg.Name, Written: state.Now(), Clean: clean, Quiet: quiet, Logic: m, Members: append([]members.Memory(nil), known...)})
+	err := g.store.Save(g.snapshot(clean, quiet))
 	if err != nil {
 		g.Saves.Failed.Add(1)
 		return err
@@ -111,6 +113,13 @@
 	return nil
 }
 
+func (g *Gateway) snapshot(clean, quiet bool) *state.State {
+	m, now := g.Engine.Learned()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return &state.State{Gateway: g.cfg.Name, Written: state.Now(), Clean: clean, Quiet: quiet, Logic: m, Members: g.members.Memory(now)}
+}
+
 func (g *Gateway) closeStore() {
 	if g.store != nil {
 		g.store.Close()
--- a/internal/nvme/initiator/node.go
+++ b/internal/nvme/initiator/node.go
@@ -67,6 +67,8 @@
 	linkMu sync.Mutex
 
 	session atomic.Pointer[session] // nil: no connection stands
+	tried   chan struct{}           // closed once it was connected to, or could not be, for the first time
+	once    sync.Once
 	aborts  chan [2]uint16
 	kick    chan struct{} // dial now: the address may have changed
 }
@@ -87,10 +89,15 @@
 func NewNode(cfg Config, sink block.Sink, watch Watcher) *Node {
 	return &Node{
 		cfg: cfg, sink: sink, watch: watch, link: links.New(logic.Micros(cfg.KeepAlive.Microseconds()), cfg.Seed),
-		aborts: make(chan [2]uint16, 256), kick: make(chan struct{}, 1),
+		aborts: make(chan [2]uint16, 256), kick: make(chan struct{}, 1), tried: make(chan struct{}),
 	}
 }
 
+// Tried is closed once the node was connected to, or could not be, for the first time.
+func (n *Node) Tried() <-chan struct{} { return n.tried }
+
+func (n *Node) hasTried() { n.once.Do(func() { close(n.tried) }) }
+
 // Up tells whether connections stand.
 func (n *Node) Up() bool { return n.session.Load() != nil }
 
@@ -120,6 +127,7 @@
 			continue
 		}
 		err := n.serve(ctx, address)
+		n.hasTried()
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -198,6 +206,7 @@
 		n.link.Up(n.cfg.Now())
 		n.linkMu.Unlock()
 		n.session.Store(s)
+		n.hasTried()
 		g.Go(func() error { return n.tend(ctx, s, admin) })
 		<-ctx.Done()
 		n.session.Store(nil)
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -89,6 +89,7 @@
 	store   map[uint32][]byte
 
 	Served atomic.Uint64 // commands answered with success
+	Taken  atomic.Uint64 // I/O commands that came
 }
 
 type work struct {
@@ -341,6 +342,7 @@
 // take accepts an I/O command.
 func (n *Node) take(c *conn, cmd nvme.Command, data []byte) {
 	now := time.Now()
+	n.Taken.Add(1)
 	bytes := int64(0)
 	first, blocks := cmd.Range()
 	switch cmd.Opcode() {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -100,6 +100,25 @@
 	return &Store{dir: dir, files: disk(dir), lock: f}, nil
 }
 
+// Lock is the descriptor by which the folder is held, to be handed to a process that takes over; below zero: none.
+func (s *Store) Lock() int {
+	if s.lock == nil {
+		return -1
+	}
+	return int(s.lock.Fd())
+}
+
+// Adopt takes over a folder that another process has held by the given descriptor, which becomes the store's.
+func Adopt(dir string, fd int, holder string) *Store {
+	s := &Store{dir: dir, files: disk(dir)}
+	if fd >= 0 {
+		s.lock = os.NewFile(uintptr(fd), lockName)
+		s.lock.Truncate(0)
+		s.lock.WriteAt([]byte(holder+"\n"), 0)
+	}
+	return s
+}
+
 // Close lets go of the folder.
 func (s *Store) Close() error {
 	if s.lock == nil {
--- a/members/members.go
+++ b/members/members.go
@@ -101,6 +101,9 @@
 	return complaint
 }
 
+// Listing tells whether a list of nodes is known: the settings', or one of the directory's.
+func (m *Members) Listing() bool { return !m.directory || m.listed }
+
 // Refused says that a node's address took no connection.
 func (m *Members) Refused(id logic.NodeID, now logic.Micros) {
 	if n := m.find(id); n != nil {
@@ -197,8 +200,8 @@
 	return out
 }
 
-// Remember gives back what an earlier process knew, before anything is told. A start that is remembered is only
-// moved by one that differs, so that logic does not take a node it knows for a fresh one. Which nodes are there is not
+// Remember gives back what an earlier process knew. A start that is remembered is only moved by one that differs, told
+// before or after, so that logic does not take a node it knows for a fresh one. Which nodes are there is not
 // remembered: the directory or the settings say so.
 func (m *Members) Remember(now logic.Micros, list []Memory) {
 	at := func(age logic.Micros) logic.Micros {
@@ -208,8 +211,13 @@
 		return now - age
 	}
 	for _, x := range list {
-		if n := m.find(x.ID); n != nil {
-			n.started, n.refusedAt = at(x.Started), at(x.Refused)
+		n := m.find(x.ID)
+		if n == nil {
+			continue
+		}
+		if was := at(x.Started); n.started == 0 || was > n.started-sameStart && was < n.started+sameStart {
+			n.started = was
 		}
+		n.refusedAt = cmp.Or(n.refusedAt, at(x.Refused))
 	}
 }
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -114,3 +114,22 @@
 		t.Errorf("%v, want 2 ready again", got)
 	}
 }
+
+// What an earlier process knew stands until something else is told, before or after.
+func TestRemember(t *testing.T) {
+	m := two(false)
+	m.Reached(1, 50_000_000, 10_000_000)
+	m.Reached(2, 50_000_000, 10_000_000)
+	m.Remember(50_000_000, []Memory{{ID: 1, Started: 10_200_000, Refused: logic.Never}, {ID: 2, Started: 30_000_000, Refused: logic.Never}, {ID: 9}})
+	if a, b := m.find(1).started, m.find(2).started; a != 39_800_000 || b != 40_000_000 {
+		t.Errorf("started %d and %d; want the remembered one where it is the same start, the told one where it is not", a, b)
+	}
+	m.News(nil)
+	m.Reached(1, 51_000_000, 11_000_000)
+	if news := m.News(nil); len(news) != 0 {
+		t.Errorf("the same start is news: %+v", news)
+	}
+	if got := m.Memory(51_000_000); len(got) != 2 || got[0].Started != 11_200_000 || got[0].Refused != logic.Never {
+		t.Errorf("%+v", got)
+	}
+}
