--- a/cmd/appleplank/demo.go
+++ b/cmd/appleplank/demo.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 
@@ -38,7 +39,9 @@
 			}
 			st, _ := os.Stdout.Stat()
 			o := demo.Options{Dir: dir, Out: os.Stdout, Seed: seed, Live: st != nil && st.Mode()&os.ModeCharDevice != 0,
-				Spawn: func(settings string) *exec.Cmd { return exec.Command(self, "serve", "-c", settings) }}
+				Spawn: func(settings string, takeover bool) *exec.Cmd {
+					return exec.Command(self, "serve", "-c", settings, fmt.Sprintf("--takeover=%v", takeover))
+				}}
 			if hold {
 				first, _, stop := untilSignal()
 				defer stop()
--- /dev/null
+++ b/days/restarts.star
@@ -0,0 +1,17 @@
+# Gateways are restarted in every way: by takeover under a burst, killed while a third of the nodes is slow and one is
+# cold, twice within a second, and all at once under a surge of the plan with a limit.
+day(name = "restarts", length = s(24), rate = 240)
+burst(at = s(1), lasting = s(3), times = 2.5)
+takeover(at = s(2), gateway = 0)
+takeover(at = s(3), gateway = 1)
+slow(at = s(5), lasting = s(6), nodes = [0, 3, 5], times = 6)
+crash(at = s(6), lasting = ms(500), nodes = [2])
+kill(at = s(7.5), lasting = ms(200), gateway = 2)
+takeover(at = s(9), gateway = 0)
+kill(at = s(12), lasting = ms(100), gateway = 1)
+kill(at = s(12.6), lasting = ms(100), gateway = 1)
+surge(at = s(14), lasting = s(8), plan = "basic", times = 8)
+kill(at = s(16), lasting = ms(200), gateway = 0)
+kill(at = s(16), lasting = ms(200), gateway = 1)
+kill(at = s(16), lasting = ms(200), gateway = 2)
+takeover(at = s(20), gateway = 2)
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -40,6 +40,7 @@
 	Eager       Kind = "eager"        // clients repeat at once what was refused or failed
 	Vanish      Kind = "vanish"       // clients leave in the middle of what they do, and new ones come
 	Stop        Kind = "stop"         // a gateway's process is stopped and goes on
+	Takeover    Kind = "takeover"     // a second process takes over from a gateway's, as for new software
 	Kill        Kind = "kill"         // a gateway's process is killed, and started again after the time that lasts
 )
 
@@ -63,7 +64,7 @@
 		s += fmt.Sprintf(" nodes %v", e.Nodes)
 	}
 	switch e.Kind {
-	case Stop, Kill:
+	case Stop, Kill, Takeover:
 		s += fmt.Sprintf(" gateway %d", e.Gateway)
 	case Surge:
 		s += fmt.Sprintf(" plan %s times %v", e.Plan, e.Times)
@@ -174,6 +175,7 @@
 	event(RepeatList, all())
 	event(Stop, all(lasting, gateway))
 	event(Kill, all(lasting, gateway))
+	event(Takeover, all(gateway))
 	if err := l.Run(name); err != nil {
 		return nil, err
 	}
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -29,7 +29,7 @@
 		}
 	}
 	for _, k := range []Kind{Burst, Surge, Slow, Hang, Lose, Twice, WrongID, Fail, Full, LateReports, Deaf, Drip, Reset, Crash,
-		Drain, StaleList, Flap, RepeatList, Eager, Vanish, Stop, Kill} {
+		Drain, StaleList, Flap, RepeatList, Eager, Vanish, Stop, Kill, Takeover} {
 		if !seen[k] {
 			t.Errorf("no shipped day has %s", k)
 		}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -59,7 +59,8 @@
 	s := fleet.Shape{
 		Nodes: nodes, Gateways: gateways, Listed: true, Head: head,
 		Gateway: ", unit_mean = 1.4, unit_top = 8, max_attempts = 4, tells_elsewhere = True",
-		More:    "times(keep_alive = s(4), connect = s(1), drain = s(6))\nbounds(memory = MiB(192), depth = 64)\n",
+		More: "times(keep_alive = s(4), connect = s(1), drain = s(6))\nbounds(memory = MiB(192), depth = 64)\n" +
+			"state(dir = \"state-%s\", every = ms(200))\n",
 		Node: standin.NodeConfig{Cores: 2, Base: 11 * time.Millisecond, PerKiB: 60 * time.Microsecond, QueueMost: 64,
 			ColdFrom: 0.2, ColdTime: 5 * time.Second, TipOver: tipOver, TipTime: tipTime, PutOff: 0.2, PutOffGo: time.Second, PauseEvery: 4 * time.Second, PauseFor: 60 * time.Millisecond,
 			Remember: 4 * time.Second, WriteCache: true, InCapsule: 8192, Record: record},
@@ -81,8 +82,8 @@
 // Options say how to run.
 type Options struct {
 	Dir string // for sockets, settings and logs
-	// Spawn makes the command of a gateway's process.
-	Spawn func(settings string) *exec.Cmd
+	// Spawn makes the command of a gateway's process, which may take over from one that runs.
+	Spawn func(settings string, takeover bool) *exec.Cmd
 	Out   io.Writer
 	Live  bool // Out is a terminal: one line that changes
 	Seed  uint64
@@ -93,14 +94,13 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	exited  chan struct{}
-	start   func() (*exec.Cmd, error)
-	stopped bool
+	start   func(takeover bool) (*exec.Cmd, error)
 }
 
-func (p *process) up() error {
+func (p *process) up(takeover bool) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cmd, err := p.start()
+	cmd, err := p.start(takeover)
 	if err != nil {
 		return err
 	}
@@ -112,6 +112,25 @@
 	return nil
 }
 
+// takeOver starts a process beside the one that runs, and waits until that has ended by itself.
+func (p *process) takeOver() error {
+	p.mu.Lock()
+	old, exited := p.cmd, p.exited
+	p.mu.Unlock()
+	if err := p.up(true); err != nil {
+		return err
+	}
+	select {
+	case <-exited:
+		if code := old.ProcessState.ExitCode(); code != 0 {
+			return fmt.Errorf("a gateway ended with status %d after it was taken over", code)
+		}
+		return nil
+	case <-time.After(10 * time.Second):
+		return fmt.Errorf("a gateway was not taken over within 10 s")
+	}
+}
+
 // signal sends one to the process and, where gone is set, waits until it has ended; after a while it is killed.
 func (p *process) signal(s os.Signal, gone bool) error {
 	p.mu.Lock()
@@ -150,8 +169,8 @@
 	}
 	s := &stage{Fleet: f}
 	for g, path := range f.Settings {
-		p := &process{start: func() (*exec.Cmd, error) {
-			cmd := o.Spawn(path)
+		p := &process{start: func(takeover bool) (*exec.Cmd, error) {
+			cmd := o.Spawn(path, takeover)
 			log, err := os.OpenFile(filepath.Join(o.Dir, fmt.Sprintf("gw%d.log", g)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 			if err != nil {
 				return nil, err
@@ -160,7 +179,7 @@
 			cmd.Stdout, cmd.Stderr = log, log
 			return cmd, cmd.Start()
 		}}
-		if err := p.up(); err != nil {
+		if err := p.up(false); err != nil {
 			s.lower()
 			return nil, fmt.Errorf("gateway %d: %w", g, err)
 		}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -96,7 +96,7 @@
 	}
 	v := p.s.Shape.Volumes[p.volume].Name
 	c, err := standin.Dial(p.s.Socket(p.gateway, v), standin.ClientConfig{Queues: 2, Depth: 48, MostData: mostAsk,
-		EventIdx: true, Indirect: p.volume%2 == 0, Advice: true})
+		EventIdx: true, Indirect: p.volume%2 == 0, Advice: true, Inflight: p.volume%3 != 2})
 	if err != nil {
 		select {
 		case <-p.over:
@@ -107,10 +107,32 @@
 	p.mu.Lock()
 	p.client = c
 	p.mu.Unlock()
-	c.Watch(func() { go p.lose(c) })
+	c.Watch(func() { go p.back(c) })
 	return c
 }
 
+// back deals with a gateway that went away: a client that keeps a region of what is in flight takes it to the next
+// process, one that does not has lost what it had out.
+func (p *program) back(c *standin.Client) {
+	if !c.Config.Inflight {
+		p.lose(c)
+		return
+	}
+	for {
+		p.mu.Lock()
+		ours := p.client == c
+		p.mu.Unlock()
+		if !ours {
+			return
+		}
+		if c.Reconnect(p.s.Socket(p.gateway, p.s.Shape.Volumes[p.volume].Name)) == nil {
+			c.Watch(func() { go p.back(c) })
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // lose lets go of a client: what it had out will not be answered.
 func (p *program) lose(c *standin.Client) {
 	p.mu.Lock()
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -15,6 +15,7 @@
 
 	"appleplank/internal/audit"
 	"appleplank/internal/day"
+	"appleplank/internal/fleet"
 	"appleplank/internal/settings"
 	"appleplank/internal/standin"
 
@@ -283,7 +284,7 @@
 	case day.Crash:
 		return each(func(i int) { p.Nodes[i].Crash(); p.list(i, false) }), each(func(i int) {
 			if err := p.Nodes[i].Up(false); err != nil {
-				p.errs = append(p.errs, err)
+				p.fault(err)
 			}
 			p.list(i, true)
 		})
@@ -321,18 +322,47 @@
 			p.procs[e.Gateway].signal(syscall.SIGCONT, false)
 			p.gone(audit.Away{Gateway: e.Gateway, From: from, To: time.Now().Add(200 * time.Millisecond)})
 		}
+	case day.Takeover:
+		return func() {
+			if err := p.procs[e.Gateway].takeOver(); err != nil {
+				p.fault(err)
+			}
+		}, nil
 	case day.Kill:
 		var from time.Time
 		return func() { from = time.Now(); p.procs[e.Gateway].signal(syscall.SIGKILL, true) }, func() {
-			if err := p.procs[e.Gateway].up(); err != nil {
-				p.errs = append(p.errs, err)
+			if err := p.procs[e.Gateway].up(false); err != nil {
+				p.fault(err)
 			}
-			p.gone(audit.Away{Gateway: e.Gateway, From: from, To: time.Now(), Killed: true})
+			// It is back once it lets clients in; what they put on their rings before that nobody has taken.
+			p.gone(audit.Away{Gateway: e.Gateway, From: from, To: p.reachable(e.Gateway).Add(200 * time.Millisecond), Killed: true})
 		}
 	}
 	return func() {}, nil
 }
 
+// reachable waits until a gateway takes connections.
+func (p *player) reachable(gateway int) time.Time {
+	for _, g := range p.programs {
+		if g.gateway == gateway {
+			path := p.Socket(gateway, p.Shape.Volumes[g.volume].Name)
+			if err := fleet.Eventually(10*time.Second, func() bool {
+				c, err := standin.Dial(path, standin.ClientConfig{Depth: 1, MostData: 4096})
+				if err == nil {
+					c.Vanish()
+				}
+				return err == nil
+			}); err != nil {
+				p.fault(fmt.Errorf("gateway %d does not come back: %w", gateway, err))
+			}
+			break
+		}
+	}
+	return time.Now()
+}
+
+func (p *player) fault(err error) { p.mu.Lock(); defer p.mu.Unlock(); p.errs = append(p.errs, err) }
+
 func (p *player) gone(a audit.Away) { p.mu.Lock(); defer p.mu.Unlock(); p.away = append(p.away, a) }
 
 // judge makes the report.
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -151,6 +151,9 @@
 	c.tally.Ops++
 	v := &c.vols[op.Volume]
 	op.taken = now
+	// What may have run before counts as a part that was served: a refusal of the rest would promise too much. It
+	// guards against a request taken up after a restart that then finds no room; found by the day of restarts.
+	op.joined, op.answer = op.Ran, ranges.Served
 	op.Class, _ = v.Class(op.Kind, op.Len)
 	by := now + cmp.Or(op.Left, c.cfg.Logic.Classes[op.Class].Deadline) - c.cfg.Times.AnswerMargin
 	add := func(x *settings.Extent, from, n int64) {
--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -217,3 +217,34 @@
 		}
 	})
 }
+
+// A request taken up after a restart that finds no node: one that may have run before is refused only where a retry does
+// no harm.
+func TestRanBefore(t *testing.T) {
+	cfg := config(t, t.TempDir())
+	for _, c := range []struct {
+		kind block.Kind
+		ran  bool
+		want block.Verdict
+	}{{block.Read, true, block.Refused}, {block.Write, false, block.Refused}, {block.Write, true, block.Failed}, {block.Discard, true, block.Failed}} {
+		core, err := NewCore(cfg, 1, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		op := NewOp()
+		op.Kind, op.Len, op.Ran, op.Front = c.kind, 512, c.ran, nobody{}
+		core.Take(1_000_000, op)
+		answered := false
+		for _, a := range core.Step(1_000_000) {
+			if a.Kind == Finish {
+				answered = true
+				if a.Op.Verdict != c.want {
+					t.Errorf("%v that ran before (%v): %v, want %v", c.kind, c.ran, a.Op.Verdict, c.want)
+				}
+			}
+		}
+		if !answered {
+			t.Errorf("%v: no answer", c.kind)
+		}
+	}
+}
--- a/internal/engine/op.go
+++ b/internal/engine/op.go
@@ -28,6 +28,7 @@
 	Durable bool         // a change must be on stable storage before it is answered
 	Key     uint64       // by which nodes drop repeats, also those of an earlier process; 0: the engine finds one
 	Left    logic.Micros // patience that is left; 0: its class's deadline
+	Ran     bool         // an attempt of an earlier process may have run
 	Front   Front
 	Tag     uint64 // the front's own
 
@@ -69,7 +70,7 @@
 		op.pieces[i] = nil
 	}
 	op.Buffer.Release()
-	op.Volume, op.Kind, op.Offset, op.Len, op.Buffer, op.Durable, op.Key, op.Left, op.Front, op.Tag = 0, 0, 0, 0, nil, false, 0, 0, nil, 0
+	op.Volume, op.Kind, op.Offset, op.Len, op.Buffer, op.Durable, op.Key, op.Left, op.Ran, op.Front, op.Tag = 0, 0, 0, 0, nil, false, 0, 0, false, nil, 0
 	op.Verdict, op.CoolDown, op.Class, op.Took, op.taken = 0, 0, 0, 0, 0
 	op.left, op.alive, op.answer, op.joined, op.gone, op.over = 0, 0, 0, false, false, false
 	op.pieces = op.pieces[:0]
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,7 +22,7 @@
 	Listed   bool   // a directory names the nodes, instead of the settings
 	Head     string // settings that all gateways share: classes, plans, rules
 	Gateway  string // more arguments of gateway()
-	More     string // further calls: times, bounds
+	More     string // further calls: times, bounds, state; %s stands for the gateway's name
 }
 
 // Volume is one volume of a fleet. Its extents are of one size and lie on the cells in turn.
@@ -96,7 +96,7 @@
 	s := &f.Shape
 	b.WriteString(s.Head)
 	fmt.Fprintf(&b, "gateway(name = \"gw%d\", hosts = %d, number = %d%s)\n", g, s.Gateways, g, s.Gateway)
-	b.WriteString(s.More)
+	b.WriteString(strings.ReplaceAll(s.More, "%s", fmt.Sprintf("gw%d", g)))
 	if f.Directory != nil {
 		fmt.Fprintf(&b, "directory(address = %q)\n", f.Directory.Address())
 	}
--- a/internal/front/ring/vring.go
+++ b/internal/front/ring/vring.go
@@ -387,7 +387,7 @@
 	if err != nil {
 		return err
 	}
-	op.Key, op.Left = x.key, left
+	op.Key, op.Left, op.Ran = x.key, left, x.taken.Sent || !x.taken.Known
 	if err := r.own(x.head, op, p.advice, false); err != nil {
 		op.Release()
 		op.Release()
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -323,6 +323,10 @@
 	if err != nil {
 		return err
 	}
+	if c.left.Load() {
+		conn.Close()
+		return ErrLeft
+	}
 	c.conn.Close()
 	c.conn = conn
 	return c.setUp()
