--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -91,10 +91,10 @@
 
 // process is a gateway's.
 type process struct {
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	exited  chan struct{}
-	start   func(takeover bool) (*exec.Cmd, error)
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	start  func(takeover bool) (*exec.Cmd, error)
 }
 
 func (p *process) up(takeover bool) error {
