--- a/internal/front/ring/handover.go
+++ b/internal/front/ring/handover.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"appleplank/internal/settings"
+	"appleplank/recall"
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
@@ -106,10 +107,6 @@
 	err     error
 }
 
-// freezeTime is how long a session that stands still waits for what is out at the nodes; what is out then is taken up
-// anew by the next process, or by this one.
-const freezeTime = 250 * time.Millisecond
-
 // Freeze has every listener and session stand still and gives what there is of them. Thaw lets them go on, or ends
 // them without a word to their clients, whom another process serves.
 func (srv *Server) Freeze() (h *Handed, thaw func(goOn bool), err error) {
@@ -196,7 +193,7 @@
 func (s *session) standStill(ask chan<- *frozen) (goOn bool) {
 	f := &frozen{s: s, resumed: make(chan bool, 1)}
 	was := make([]bool, len(s.rings))
-	until := time.Now().Add(freezeTime)
+	until := time.Now().Add(time.Duration(recall.HandWait) * time.Microsecond)
 	for i, v := range s.rings {
 		if v.run != nil {
 			was[i] = true
--- a/internal/front/ring/vring.go
+++ b/internal/front/ring/vring.go
@@ -190,12 +190,10 @@
 	v.end()
 }
 
-// binding tells whether an unsafe request is out that has been sent: only this process can give it an answer that says
-// how it ended. The caller holds mu.
+// binding tells whether something is out that only this process can answer. The caller holds mu.
 func (r *running) binding() bool {
 	for i := range r.requests {
-		if q := &r.requests[i]; q.busy && q.op != nil && q.sent &&
-			r.v.s.server.cfg.Logic.Classes[q.class].Repeat == logic.Fragile {
+		if q := &r.requests[i]; q.busy && q.op != nil && recall.MustFinish(&r.v.s.server.cfg.Logic.Classes[q.class], q.sent) {
 			return true
 		}
 	}
--- a/recall/recall.go
+++ b/recall/recall.go
@@ -193,3 +193,11 @@
 	}
 	return Again, left
 }
+
+// HandWait is how long a gateway that hands its clients over waits for what is out at the nodes. Longer spares repeats,
+// shorter is the wait of everybody else.
+const HandWait = 250 * ms
+
+// MustFinish tells whether only the process that has begun a request can give it its answer, so that a handover waits
+// for it past [HandWait], until its deadline at the most: an unsafe one that was sent could else only be failed.
+func MustFinish(c *logic.Class, sent bool) bool { return sent && c.Repeat == logic.Fragile }
--- a/recall/recall_test.go
+++ b/recall/recall_test.go
@@ -227,6 +227,19 @@
 	}
 }
 
+// What must be finished by its own process is just what the next could only fail because of the handover.
+func TestMustFinish(t *testing.T) {
+	for _, repeat := range []logic.Repeat{logic.Retryable, logic.Dedup, logic.Fragile} {
+		for _, sent := range []bool{false, true} {
+			c := &logic.Class{Deadline: 2 * sec, Repeat: repeat, RepeatWindow: 4 * sec}
+			fate, _ := Resume(c, Taken{Known: true, Sent: sent, Age: HandWait, First: HandWait, SameGroup: true})
+			if MustFinish(c, sent) != (fate == Fail) {
+				t.Errorf("repeat %d, sent %v: must finish %v, the next process's fate is %d", repeat, sent, MustFinish(c, sent), fate)
+			}
+		}
+	}
+}
+
 func TestResume(t *testing.T) {
 	safe := logic.Class{Deadline: 2 * sec}
 	keyed := logic.Class{Deadline: 2 * sec, Repeat: logic.Dedup, RepeatWindow: sec}
