Decision module crossing: a budget for bytes between zones, spent by worth, that bends for saves

What is worth least is refused first, at once and with the time to come back; a part is held back for what is worth most; where a zone is lost the budget bends for the classes that may, by a loan that grows at a stated rate for a stated time and is paid back; flapping lends nothing twice.

--- /dev/null
+++ b/crossing/crossing_test.go
@@ -0,0 +1,220 @@
+package crossing
+
+import (
+	"math"
+	"testing"
+
+	"appleplank/logic"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	save = iota
+	read
+	report
+)
+
+func settings() Settings {
+	return Settings{Hosts: 2, Rate: 2000, Burst: 4000, HoldBack: 0.5, Lost: 0.5, Bend: 3, BendFor: 10 * sec,
+		Classes: []Class{{Worth: 3, Bends: true}, {Worth: 2}, {Worth: 1}}}
+}
+
+func budget(t interface{ Fatal(...any) }, s Settings) *Budget {
+	b, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// Reports are refused first, then reads; saves may spend all. A refusal names the time at which the same request passes,
+// and not a moment before it does.
+func TestOrderOfRefusal(t *testing.T) {
+	b := budget(t, settings()) // its part: 1000 a second, 2000 at once; floors 0, 500, 1000
+	ask := func(now logic.Micros, class int, bytes float64, want bool) logic.Micros {
+		t.Helper()
+		ok, wait := b.Ask(now, class, bytes)
+		if ok != want {
+			t.Errorf("class %d of %.0f bytes: %v, want %v (level %.0f)", class, bytes, ok, want, b.short.level)
+		}
+		return wait
+	}
+	ask(0, report, 900, true)
+	wait := ask(0, report, 300, false)
+	if wait != 200*ms {
+		t.Errorf("advice %d, want 200 ms", wait)
+	}
+	ask(0, read, 600, true)
+	ask(0, read, 100, false)
+	ask(0, save, 500, true)
+	ask(0, save, 1, false)
+	b = budget(t, settings())
+	b.Ask(0, report, 900)
+	ask(wait-1, report, 300, false)
+	b = budget(t, settings())
+	b.Ask(0, report, 900)
+	ask(wait, report, 300, true)
+}
+
+// A request larger than the whole budget passes when the store is full, and is owed afterwards.
+func TestLargerThanBudget(t *testing.T) {
+	b := budget(t, settings())
+	if ok, _ := b.Ask(0, report, 5000); !ok {
+		t.Error("never passes")
+	}
+	if ok, wait := b.Ask(0, save, 1); ok || wait < 3*sec {
+		t.Errorf("%v after %d: what was owed is forgotten", ok, wait)
+	}
+	if ok, _ := b.Ask(4*sec, report, 5000); ok {
+		t.Error("passes again before the store is full")
+	}
+	if ok, _ := b.Ask(5*sec, report, 5000); !ok {
+		t.Error("does not pass with a full store")
+	}
+}
+
+// A zone lost: the budget bends for saves and not for reports, at the stated rate and for the stated time; the loan is
+// paid back from what comes in, and flapping lends nothing twice.
+func TestBend(t *testing.T) {
+	b := budget(t, settings())
+	for b.short.level > 0 {
+		b.Ask(0, save, 100)
+	}
+	b.Zones(0, []Zone{{0, 4, 4}, {1, 4, 3}})
+	if ok, _ := b.Ask(0, save, 100); ok {
+		t.Error("bends with a quarter of a zone lost")
+	}
+	b.Zones(0, []Zone{{0, 4, 4}, {1, 4, 2}})
+	passed := [3]float64{}
+	for now := logic.Micros(0); now < 20*sec; now += 10 * ms {
+		for class := range 3 {
+			if ok, _ := b.Ask(now, class, 100); ok {
+				passed[class] += 100
+			}
+		}
+		if now%(200*ms) == 0 { // flaps
+			b.Zones(now, []Zone{{1, 4, 4}})
+			b.Zones(now, []Zone{{1, 4, 2}})
+		}
+	}
+	// At most: 1000 a second of its own, and a loan of twice that for 10 s, all over 20 s.
+	if passed[save] < 15_000 || passed[save] > 20_000+20_000+2000 {
+		t.Errorf("saves crossed with %.0f bytes in 20 s", passed[save])
+	}
+	if passed[report] > 0 {
+		t.Errorf("reports crossed with %.0f bytes while a zone was lost", passed[report])
+	}
+	b.Zones(20*sec, []Zone{{1, 4, 4}})
+	_, _, loan := b.Level(20 * sec)
+	if loan < 10_000 || loan > 22_000 {
+		t.Errorf("a loan of %.0f", loan)
+	}
+	before := b.loan
+	if _, _, after := b.Level(30 * sec); after != before-5000 {
+		t.Errorf("paid back %.0f of %.0f in 10 s, want half of what came in, 5000", before-after, before)
+	}
+}
+
+// Whatever is asked, when and by whom, with zones that come and go and clocks that jump: what passes in any window stays
+// within rate and burst, the loan, and one request; what has crossed unasked counts; and no state is left that is no number.
+func TestBudgetKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := settings()
+		s.Period, s.PerTime = 60*sec, 50_000
+		b := budget(t, s)
+		type draw struct {
+			at    logic.Micros
+			bytes float64
+		}
+		var draws []draw
+		now, largest := logic.Micros(0), 0.0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now += logic.Micros(rapid.IntRange(0, 400_000).Draw(t, "pass"))
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				b.Zones(now, []Zone{{1, 4, rapid.IntRange(0, 4).Draw(t, "ready")}})
+			case 1:
+				n := float64(rapid.IntRange(1, 500).Draw(t, "unasked"))
+				b.Spent(now, n)
+				draws = append(draws, draw{now, n})
+				largest = max(largest, n)
+			case 2:
+				b.Ask(now-logic.Micros(rapid.IntRange(1, 1_000_000).Draw(t, "back")), report, 1e9) // a clock that went back
+			default:
+				n := float64(rapid.IntRange(1, 3000).Draw(t, "bytes"))
+				class := rapid.IntRange(0, 2).Draw(t, "class")
+				ok, wait := b.Ask(now, class, n)
+				if ok {
+					draws = append(draws, draw{now, n})
+					largest = max(largest, n)
+				} else if wait <= 0 {
+					t.Fatalf("refused with no time to come back")
+				}
+			}
+			if math.IsNaN(b.short.level + b.long.level + b.loan) {
+				t.Fatal("a level is no number")
+			}
+		}
+		for i := range draws {
+			sum := 0.0
+			for j := i; j < len(draws); j++ {
+				sum += draws[j].bytes
+				span := seconds(draws[j].at - draws[i].at)
+				unasked := b.Tally.Unasked
+				if bound := 2000 + 1000*span + 22_000 + 2*largest + unasked; sum > bound {
+					t.Fatalf("%.0f bytes within %.2f s, at most %.0f", sum, span, bound)
+				}
+				if bound := 25_000 + 25_000/60*span + 2*largest + b.Tally.Bent + unasked; sum > bound {
+					t.Fatalf("%.0f bytes within %.2f s, the period allows %.0f", sum, span, bound)
+				}
+			}
+		}
+	})
+}
+
+// A restart forgets nothing in the budget's favour.
+func TestRemember(t *testing.T) {
+	b := budget(t, settings())
+	b.Ask(0, save, 1500)
+	b.loan = 300
+	m := b.Memory(0)
+	for _, c := range []struct {
+		m     *Memory
+		age   logic.Micros
+		short float64
+	}{{&m, 0, 500}, {&m, sec, 1200}, {nil, 0, 0}} { // of 1000 that came in 300 pay the loan back
+		n := budget(t, settings())
+		if err := n.Remember(c.m, c.age); err != nil {
+			t.Fatal(err)
+		}
+		if short, _, _ := n.Level(77 * sec); short != c.short {
+			t.Errorf("after %d: %.0f at hand, want %.0f", c.age, short, c.short)
+		}
+	}
+	if budget(t, settings()).Remember(&Memory{Short: math.NaN()}, 0) == nil {
+		t.Error("takes a level that is no number")
+	}
+}
+
+func TestCheck(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"no burst": func(s *Settings) { s.Burst = 0 }, "nan": func(s *Settings) { s.Rate = math.NaN() }, "hold back": func(s *Settings) { s.HoldBack = 1.5 },
+		"period alone": func(s *Settings) { s.Period = sec }, "hosts": func(s *Settings) { s.Hosts = 0 },
+	} {
+		s := settings()
+		if change(&s); s.Check() == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+func BenchmarkAsk(b *testing.B) {
+	x := budget(b, settings())
+	now := logic.Micros(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 50
+		x.Ask(now, read, 100)
+	}
+}
