--- a/crossing/crossing.go
+++ b/crossing/crossing.go
@@ -212,7 +212,14 @@
 	b.pass(now)
 	b.short.level = min(b.short.level-bytes, b.short.most)
 	b.long.level = min(b.long.level-bytes, b.long.most)
-	b.Tally.Unasked += bytes
+	b.Tally.Unasked += max(bytes, 0)
+}
+
+// Back gives back what was asked for and never crossed.
+func (b *Budget) Back(now logic.Micros, bytes float64) {
+	b.pass(now)
+	b.short.level = min(b.short.level+bytes, b.short.most)
+	b.long.level = min(b.long.level+bytes, b.long.most)
 }
 
 // Zones is news of the nodes: for each zone how many there should be and how many take work.
--- a/internal/block/attempt.go
+++ b/internal/block/attempt.go
@@ -37,6 +37,7 @@
 type Result struct {
 	Outcome   logic.Outcome
 	Load      logic.Load
+	Out, In   int64 // bytes of the connection that were the attempt's, headers included
 	Elsewhere int64 // bytes the node served for the namespace through other hosts since its last answer here
 }
 
--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -20,7 +20,7 @@
 		b.Fatal(err)
 	}
 	now := logic.Micros(1_000_000)
-	c.Nodes([]logic.Node{{ID: 1, Cell: 0, State: logic.Ready}, {ID: 2, Cell: 1, State: logic.Ready}})
+	c.Nodes(now, []logic.Node{{ID: 1, Cell: 0, State: logic.Ready}, {ID: 2, Cell: 1, State: logic.Ready}})
 	c.Step(now)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -9,6 +9,7 @@
 	"container/heap"
 	"fmt"
 
+	"appleplank/crossing"
 	"appleplank/internal/block"
 	"appleplank/internal/settings"
 	"appleplank/logic"
@@ -67,6 +68,10 @@
 	before  []Action // those of the last Step, to be used again
 	pool    []*attempt
 	tally   Tally
+	budget  *crossing.Budget
+	nodes   map[logic.NodeID]logic.Node
+	home    map[int]bool // cells that a ready node of this gateway's zone holds
+	ledger  map[ledgerKey]*Crossed
 }
 
 type volume struct {
@@ -89,6 +94,9 @@
 	stopAt logic.Micros
 	told   bool // logic knows that it ended
 	place  int  // in the heap; below zero: not there
+	volume int
+	class  int
+	asked  float64 // bytes of the budget that it has been let through with
 }
 
 // NewCore makes a core. The nonce sets its repeat keys apart from those of other gateways and of its own earlier
@@ -98,7 +106,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{cfg: cfg, host: host, pieces: map[logic.RequestID]*piece{}, nonce: nonce << 32}
+	budget, err := crossing.New(cfg.Crossing)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{cfg: cfg, host: host, pieces: map[logic.RequestID]*piece{}, nonce: nonce << 32, budget: budget,
+		nodes: map[logic.NodeID]logic.Node{}, home: map[int]bool{}, ledger: map[ledgerKey]*Crossed{}}
 	lastKey := uint64(0)
 	for i := range cfg.Volumes {
 		v := &cfg.Volumes[i]
@@ -176,6 +189,10 @@
 	}
 	op.left, op.alive = len(op.pieces), len(op.pieces)
 	for _, p := range op.pieces {
+		if wait, ok := c.mayCross(now, p); !ok {
+			c.answer(now, p, ranges.Refused, wait)
+			continue
+		}
 		if !p.ordered {
 			c.arrive(p, 0)
 			continue
@@ -188,6 +205,9 @@
 			c.tally.Held++
 		}
 	}
+	for _, p := range op.pieces {
+		c.forget(now, p) // those that were refused here
+	}
 }
 
 // sameNamespace tells whether an earlier extent lies in the same namespace of the same cell.
@@ -243,6 +263,7 @@
 // Ended is the end of an attempt, as the back tells it.
 func (c *Core) Ended(now logic.Micros, b *block.Attempt, r block.Result) {
 	a := b.Owner.(*attempt)
+	c.crossed(now, a, r)
 	if a.told {
 		c.tally.LateEnds++
 	} else {
@@ -287,9 +308,10 @@
 }
 
 // Nodes is news of the nodes.
-func (c *Core) Nodes(nodes []logic.Node) {
+func (c *Core) Nodes(now logic.Micros, nodes []logic.Node) {
 	if len(nodes) > 0 {
 		c.events = append(c.events, logic.NodeList{Kind: logic.ListDelta, Nodes: nodes})
+		c.zones(now, nodes)
 	}
 }
 
@@ -385,6 +407,10 @@
 	a := c.newAttempt()
 	op := p.op
 	a.p, a.number, a.sent, a.stopAt, a.told = p, p.tries, now, p.dropDead, false
+	a.volume, a.class, a.asked = op.Volume, op.Class, p.asked
+	if p.tries > 0 {
+		a.asked = 0
+	}
 	if s.StopAt > 0 {
 		a.stopAt = min(a.stopAt, s.StopAt)
 	}
@@ -467,6 +493,9 @@
 		return
 	}
 	delete(c.pieces, p.id)
+	if p.asked > 0 && p.tries == 0 { // it never crossed after all
+		c.budget.Back(now, p.asked)
+	}
 	if p.ordered {
 		rest := p.rest
 		if rest <= now {
--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -141,7 +141,7 @@
 			t.Fatal(err)
 		}
 		w := &world{T: t, c: core, now: 1_000_000, live: map[*Op]*client{}, drops: map[*block.Attempt]bool{}}
-		core.Nodes([]logic.Node{{ID: 1, Cell: 0, State: logic.Ready}, {ID: 2, Cell: 1, State: logic.Ready}})
+		core.Nodes(w.now, []logic.Node{{ID: 1, Cell: 0, State: logic.Ready}, {ID: 2, Cell: 1, State: logic.Ready}})
 		w.step()
 		end := func(i int, o logic.Outcome) {
 			a := w.out[i]
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"appleplank/crossing"
 	"appleplank/internal/block"
 	"appleplank/internal/settings"
 	"appleplank/logic"
@@ -110,6 +111,22 @@
 	return e.core.Remember(now, *m)
 }
 
+// Crossing tells what crossed and what is left of the budget.
+func (e *Engine) Crossing() (rows []Crossed, m crossing.Memory) {
+	e.mu.Lock()
+	rows, m = e.core.Crossing(e.Now())
+	e.mu.Unlock()
+	e.catchUp()
+	return rows, m
+}
+
+// RememberCrossing gives the engine what an earlier process has counted and left, before anything is brought.
+func (e *Engine) RememberCrossing(rows []Crossed, m *crossing.Memory, age logic.Micros) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.RememberCrossing(rows, m, age)
+}
+
 // Quiet tells whether nothing is held, and nothing that was sent may still run at a node.
 func (e *Engine) Quiet() bool {
 	e.mu.Lock()
@@ -205,7 +222,7 @@
 			case ended:
 				e.core.Ended(now, in.attempt, in.result)
 			case nodes:
-				e.core.Nodes(in.nodes)
+				e.core.Nodes(now, in.nodes)
 			case tick:
 				e.armed = 0
 			}
--- a/internal/engine/op.go
+++ b/internal/engine/op.go
@@ -103,7 +103,8 @@
 	rest     logic.Micros
 	result   *block.Buffer // what was read, from at on
 	at       int64
-	number   int // among its op's pieces
+	number   int     // among its op's pieces
+	asked    float64 // bytes of the crossing budget it was let through with; 0: it does not cross
 }
 
 var piecePool = sync.Pool{New: func() any { return new(piece) }}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	Gateways int
 	Node     standin.NodeConfig // what all nodes are like; names, addresses and namespaces are filled in
 	Volumes  []Volume
+	Zones    []int  // of the nodes; all 0 where empty
 	Listed   bool   // a directory names the nodes, instead of the settings
 	Head     string // settings that all gateways share: classes, plans, rules
 	Gateway  string // more arguments of gateway()
@@ -105,7 +106,11 @@
 		if f.Directory == nil {
 			address = fmt.Sprintf("address = %q, ", n.Address())
 		}
-		fmt.Fprintf(&b, "node(id = %d, cell = %d, %snqn = %q)\n", i+1, i, address, n.NQN())
+		zone := 0
+		if len(s.Zones) > 0 {
+			zone = s.Zones[i]
+		}
+		fmt.Fprintf(&b, "node(id = %d, cell = %d, zone = %d, %snqn = %q)\n", i+1, i, zone, address, n.NQN())
 	}
 	for i, v := range s.Volumes {
 		socket := ""
--- a/internal/gateway/keep.go
+++ b/internal/gateway/keep.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"sync/atomic"
 	"time"
 
+	"appleplank/internal/engine"
 	"appleplank/internal/state"
 	"appleplank/logic"
 	"appleplank/recall"
@@ -22,7 +24,7 @@
 func (g *Gateway) recall() error {
 	dir := g.cfg.State.Dir
 	if dir == "" {
-		return g.Engine.Remember(nil, true)
+		return errors.Join(g.Engine.Remember(nil, true), g.Engine.RememberCrossing(nil, nil, 0))
 	}
 	store, err := state.Open(dir, fmt.Sprintf("gateway %s, process %d", g.cfg.Name, os.Getpid()))
 	if err != nil {
@@ -35,7 +37,7 @@
 		log.Warn("started without", zap.Error(err))
 	}
 	if st == nil {
-		return g.Engine.Remember(nil, true)
+		return errors.Join(g.Engine.Remember(nil, true), g.Engine.RememberCrossing(nil, nil, 0))
 	}
 	// Mark it as used before anything is sent: a later start must not take it for the last word of this life.
 	clean, quiet := st.Clean, st.Clean && st.Quiet
@@ -58,6 +60,17 @@
 	if complaint != "" {
 		log.Warn("how old it is cannot be told; most of it counts for nothing", zap.String("complaint", complaint))
 	}
+	var rows []engine.Crossed
+	for _, r := range st.Crossed {
+		rows = append(rows, engine.Crossed{Volume: r.Volume, Class: r.Class, Zone: r.Zone, Reason: engine.Reason(r.Reason), Attempts: r.Attempts, Out: r.Out, In: r.In})
+	}
+	budget := st.Budget
+	if !recall.Limits(clean, marked, how) {
+		budget = nil // what was spent since is not known
+	}
+	if err := g.Engine.RememberCrossing(rows, budget, age); err != nil {
+		log.Warn("crossing", zap.Error(err))
+	}
 	memory := recall.Fade(st.Logic, age, how, recall.Limits(clean, marked, how))
 	known := st.Members
 	for i := range known {
@@ -115,9 +128,15 @@
 
 func (g *Gateway) snapshot(clean, quiet bool) *state.State {
 	m, now := g.Engine.Learned()
+	rows, budget := g.Engine.Crossing()
+	st := &state.State{Gateway: g.cfg.Name, Written: state.Now(), Clean: clean, Quiet: quiet, Logic: m, Budget: &budget}
+	for _, r := range rows {
+		st.Crossed = append(st.Crossed, state.Crossed{Volume: r.Volume, Class: r.Class, Zone: r.Zone, Reason: uint8(r.Reason), Attempts: r.Attempts, Out: r.Out, In: r.In})
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return &state.State{Gateway: g.cfg.Name, Written: state.Now(), Clean: clean, Quiet: quiet, Logic: m, Members: g.members.Memory(now)}
+	st.Members = g.members.Memory(now)
+	return st
 }
 
 func (g *Gateway) closeStore() {
--- a/internal/nvme/initiator/node.go
+++ b/internal/nvme/initiator/node.go
@@ -709,7 +709,7 @@
 		answerBroken(t)
 		return
 	}
-	r := block.Result{Outcome: t.outcome, Load: logic.NoLoad}
+	r := block.Result{Outcome: t.outcome, Load: logic.NoLoad, Out: t.wireOut, In: t.wireIn}
 	if t.told {
 		r.Load.Holds, r.Load.Waits = float64(t.report.Holds), float64(t.report.Waits)
 		if t.report.Busy <= 100 {
--- a/internal/nvme/initiator/queue.go
+++ b/internal/nvme/initiator/queue.go
@@ -29,6 +29,8 @@
 	report  nvme.Report
 	told    bool // report is valid
 	dropped bool
+	wireOut int64 // bytes that crossed for it, under the queue's mu
+	wireIn  int64
 	reply   chan reply // admin calls
 }
 
@@ -358,8 +360,18 @@
 	}
 	p := &s.t.parts[s.part]
 	cmd, out := p.cmd, p.out
+	// Counted before it is sent, as the answer may be there, and the task over, before the sending is.
 	if !it.data {
 		s.written, s.sent = true, q.now()
+		in := 0
+		if _, inCapsule, _ := cmd.DataLen(); inCapsule {
+			in = len(out)
+		}
+		s.t.wireOut += int64(q.w.CapsuleSize(in))
+	} else {
+		for left := int(it.length); left > 0; left -= q.maxH2CData {
+			s.t.wireOut += int64(q.w.TransferSize(min(left, q.maxH2CData)))
+		}
 	}
 	// The node may answer, and the place be given to another, while its data is still being written.
 	held := s.t.buffer.Hold()
@@ -430,6 +442,13 @@
 }
 
 func (q *queue) take(h *nvme.Header) error {
+	switch h.Type {
+	case nvme.CapsuleResp:
+		q.arrived(h.Completion().CID(), h.Wire)
+	case nvme.C2HData, nvme.R2T:
+		cid, _, _, _ := h.Transfer()
+		q.arrived(cid, h.Wire)
+	}
 	switch h.Type {
 	case nvme.CapsuleResp:
 		return q.completed(*h.Completion())
@@ -444,6 +463,15 @@
 	return &nvme.FatalError{Status: nvme.FESSequence, Text: fmt.Sprintf("%v from a node", h.Type)}
 }
 
+// arrived counts a PDU for the command it belongs to.
+func (q *queue) arrived(cid uint16, bytes int) {
+	q.mu.Lock()
+	if s := q.find(cid); s != nil && s.written {
+		s.t.wireIn += int64(bytes)
+	}
+	q.mu.Unlock()
+}
+
 func (q *queue) completed(c nvme.Completion) error {
 	q.mu.Lock()
 	s := q.find(c.CID())
--- a/internal/nvme/pdu.go
+++ b/internal/nvme/pdu.go
@@ -107,6 +107,7 @@
 	Type  Type
 	Flags uint8
 	Data  int // bytes of data that follow
+	Wire  int // bytes of the whole PDU
 	raw   [icLen]byte
 }
 
@@ -217,7 +218,7 @@
 		}
 		at += digestLen
 	}
-	h.Data, r.digest = 0, false
+	h.Data, h.Wire, r.digest = 0, int(plen), false
 	if plen == uint32(at) {
 		if h.Type == C2HData || h.Type == H2CData {
 			return fatal(FESHeaderField, 4, "%v carries no data", h.Type)
@@ -328,6 +329,28 @@
 // Flush sends what is buffered.
 func (w *Writer) Flush() error { return w.bw.Flush() }
 
+// Capsules and transfers differ only in their headers' lengths, so a sender can tell before it sends what will cross.
+
+// CapsuleSize is how many bytes a command with so much in-capsule data takes.
+func (w *Writer) CapsuleSize(data int) int { return w.size(capsuleLen, data) }
+
+// TransferSize is how many bytes an H2CData PDU with so much data takes.
+func (w *Writer) TransferSize(data int) int { return w.size(dataLen, data) }
+
+func (w *Writer) size(header, data int) int {
+	if w.HeaderDigest {
+		header += digestLen
+	}
+	if data == 0 {
+		return header
+	}
+	n := (header+w.Align-1)/w.Align*w.Align + data
+	if w.DataDigest {
+		n += digestLen
+	}
+	return n
+}
+
 // put frames a PDU: header is what follows the common header.
 func (w *Writer) put(t Type, flags uint8, header, data []byte) error {
 	hlen := commonLen + len(header)
--- a/internal/settings/describe.go
+++ b/internal/settings/describe.go
@@ -64,6 +64,13 @@
 		d(c.Times.AnswerMargin), d(c.Times.Connect), d(c.Times.KeepAlive), d(c.Times.Drain))
 	fmt.Fprintf(t, "bounds: %d commands over %d queues a node, %d bytes a request, %d bytes of buffers, %d bytes of a client's memory\n",
 		c.Bounds.Depth, c.Bounds.IOQueues, c.Bounds.MostBytes, c.Bounds.Memory, c.Bounds.MostMemory)
+	if x := &c.Crossing; x.Rate > 0 {
+		fmt.Fprintf(t, "crossing: %.0f bytes a second, %.0f at once", x.Rate, x.Burst)
+		if x.Period > 0 {
+			fmt.Fprintf(t, ", %.0f in %v", x.PerTime, d(x.Period))
+		}
+		fmt.Fprintf(t, "; %.0f%% held back; with %.0f%% of a zone lost %v times as much for %v\n", 100*x.HoldBack, 100*x.Lost, x.Bend, d(x.BendFor))
+	}
 	if c.State.Dir != "" {
 		fmt.Fprintf(t, "state: kept in %s, written every %v\n", c.State.Dir, d(c.State.Every))
 	} else {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 
+	"appleplank/crossing"
 	"appleplank/internal/block"
 	"appleplank/internal/script"
 	"appleplank/logic"
@@ -63,6 +64,7 @@
 	l.Single("times", l.times)
 	l.Single("bounds", l.bounds)
 	l.Single("state", l.state)
+	l.Single("crossing", l.crossing)
 	l.Many("class_", l.class)
 	l.Many("plan", l.plan)
 	l.Many("node", l.node)
@@ -155,6 +157,18 @@
 	}
 }
 
+func (l *loader) crossing(f *script.Form) {
+	c := &l.c.Crossing
+	c.Rate, c.Burst = float64(f.Size("rate", script.Must)), float64(f.Size("burst", script.Must))
+	c.Period, c.PerTime = logic.Micros(f.Duration("period", 0)), float64(f.Size("per_period", 0))
+	c.HoldBack, c.Lost = f.Number("hold_back", 0.3), f.Number("lost", 0.5)
+	c.Bend, c.BendFor = f.Number("bend", 1), logic.Micros(f.Duration("bend_for", 0))
+	c.Hosts = 1
+	if err := c.Check(); err != nil {
+		f.Bad("", "%v", err)
+	}
+}
+
 func (l *loader) class(f *script.Form) {
 	name := f.Text("name", "", true)
 	if _, twice := l.classes[name]; twice {
@@ -186,6 +200,7 @@
 	if c.Repeat == logic.Dedup && c.RepeatWindow == 0 {
 		f.Bad("remembers", "a keyed class needs the time for which nodes drop repeats")
 	}
+	l.c.Crossing.Classes = append(l.c.Crossing.Classes, crossing.Class{Worth: c.Worth, Bends: f.Flag("bends", false)})
 	l.classes[name] = len(l.c.Classes)
 	l.c.Classes = append(l.c.Classes, name)
 	l.c.Logic.Classes = append(l.c.Logic.Classes, c)
@@ -394,6 +409,7 @@
 			bad(top, fmt.Sprintf("class_(%q).deadline", c.Classes[i]), "is not above answer_margin")
 		}
 	}
+	c.Crossing.Hosts = c.Logic.Hosts
 	if len(l.Problems) == 0 {
 		if _, err := logic.New(c.Logic, 1); err != nil {
 			bad(top, "", "%v", err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 package settings
 
 import (
+	"appleplank/crossing"
 	"appleplank/internal/block"
 	"appleplank/logic"
 )
@@ -21,6 +22,7 @@
 	Times     Times
 	Bounds    Bounds
 	State     State
+	Crossing  crossing.Settings // its rate is 0 where there is no budget
 }
 
 // Volume is one disk that clients see.
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -633,3 +633,6 @@
 }
 
 func (n *Node) begun() time.Time { n.mu.Lock(); defer n.mu.Unlock(); return n.started }
+
+// Bytes is what has crossed the node's connections, in and out.
+func (n *Node) Bytes() (in, out int64) { return n.t.BytesIn.Load(), n.t.BytesOut.Load() }
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -35,6 +35,8 @@
 	slow  atomic.Int64 // bytes a second that are sent; 0: no bound
 	deaf  atomic.Bool  // connections are taken and never answered
 	blind atomic.Bool  // nothing more is read
+
+	BytesIn, BytesOut atomic.Int64 // on all connections
 }
 
 // conn is one queue's connection.
@@ -84,7 +86,8 @@
 				return
 			}
 			x := &conn{t: t, c: c, id: n, waits: map[uint16]*transfer{}}
-			x.r, x.w = nvme.NewReader(c, mostData), nvme.NewWriter(&throttled{c, &t.slow})
+			counted := &counting{Conn: c, t: t}
+			x.r, x.w = nvme.NewReader(counted, mostData), nvme.NewWriter(&throttled{counted, &t.slow})
 			t.mu.Lock()
 			if t.ln != ln {
 				t.mu.Unlock()
@@ -430,3 +433,21 @@
 	c.w.Response(&q)
 	c.w.Flush()
 }
+
+// counting counts what crosses a connection, on the node's side.
+type counting struct {
+	net.Conn
+	t *target
+}
+
+func (c *counting) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.t.BytesIn.Add(int64(n))
+	return n, err
+}
+
+func (c *counting) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.t.BytesOut.Add(int64(n))
+	return n, err
+}
--- a/internal/state/operate.go
+++ b/internal/state/operate.go
@@ -15,8 +15,8 @@
 	"appleplank/recall"
 )
 
-// read reads a folder's state without taking hold of it: the file is replaced whole, so it can be read at any time.
-func read(dir string) (*State, error) {
+// Read reads a folder's state without taking hold of it: the file is replaced whole, so it can be read at any time.
+func Read(dir string) (*State, error) {
 	b, err := os.ReadFile(filepath.Join(dir, fileName))
 	if err != nil {
 		return nil, fmt.Errorf("state: %w", err)
@@ -26,7 +26,7 @@
 
 // Report says whether the state in a folder can be used, and how old it is; the error is why not.
 func Report(w io.Writer, dir string) error {
-	st, err := read(dir)
+	st, err := Read(dir)
 	if err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 	if err := Report(w, dir); err != nil {
 		return err
 	}
-	st, err := read(dir)
+	st, err := Read(dir)
 	if err != nil {
 		return err
 	}
@@ -85,7 +85,7 @@
 
 // Export writes a folder's state as JSON.
 func Export(w io.Writer, dir string) error {
-	st, err := read(dir)
+	st, err := Read(dir)
 	if err != nil {
 		return err
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/crc32"
 
+	"appleplank/crossing"
 	"appleplank/logic"
 	"appleplank/members"
 	"appleplank/recall"
@@ -24,10 +25,22 @@
 	Quiet   bool // and nothing that it had sent may still run at a node
 	Logic   logic.Memory
 	Members []members.Memory
+	Crossed []Crossed        // bytes on the connections to nodes, by what they were for
+	Budget  *crossing.Memory // for what crosses zones; nil: not known
+}
+
+// Crossed is a row of the ledger of bytes.
+type Crossed struct {
+	Volume   uint64
+	Class    int
+	Zone     int
+	Reason   uint8
+	Attempts uint64
+	Out, In  int64
 }
 
 // Version is the version that is written. Older ones are read by way of migrate.
-const Version = 2
+const Version = 3
 
 /*
 The file, all integers little-endian:
@@ -135,7 +148,7 @@
 			s.Members = append(s.Members, members.Memory{ID: n.Node.ID, Started: n.Node.Started, Refused: logic.Never})
 		}
 		return s, nil
-	case 2:
+	case 2, 3: // version 2 had nothing of what crosses
 		s := &State{}
 		return s, decoder.Unmarshal(content, s)
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -114,7 +114,9 @@
 func TestVersions(t *testing.T) {
 	v1 := filepath.Join("testdata", "v1.state")
 	v2 := filepath.Join("testdata", "v2.state")
+	v3 := filepath.Join("testdata", "v3.state")
 	if *update {
+		// Version 2's fixture was written by version 2 and cannot be written again.
 		old := struct {
 			Gateway string
 			Written recall.Stamp
@@ -124,9 +126,9 @@
 		os.MkdirAll("testdata", 0o755)
 		os.WriteFile(v1, frame(1, c), 0o644)
 		b, _ := Encode(some(3))
-		os.WriteFile(v2, b, 0o644)
+		os.WriteFile(v3, b, 0o644)
 	}
-	for _, path := range []string{v1, v2} {
+	for _, path := range []string{v1, v2, v3} {
 		b, err := os.ReadFile(path)
 		if err != nil {
 			t.Fatal(err)
@@ -576,7 +578,7 @@
 	if err := Import(dir, []byte(export.String())); err != nil {
 		t.Fatal(err)
 	}
-	got, err := read(dir)
+	got, err := Read(dir)
 	if err != nil || got.Clean || got.Quiet || number(t, got) != 4 {
 		t.Errorf("%+v, %v", got, err)
 	}
