Rings may be told of in any order; namespaces are identified together

Cause: a front-end that enables and kicks a queue before it tells all of it was closed at SET_VRING_NUM or _BASE, which the protocol text does not forbid; and the first answer after a start waited for one Identify a namespace after another.

--- a/internal/front/ring/ring_test.go
+++ b/internal/front/ring/ring_test.go
@@ -230,6 +230,25 @@
 	wait(t, "an answer after the stop", func() bool { return r.usedIdx() == 3 })
 }
 
+// A front-end may tell of its ring in any order.
+func TestSetUpInAnyOrder(t *testing.T) {
+	h := open(t, true)
+	r := h.dial()
+	r.send(18, words(0, 1)) // before SET_FEATURES
+	r.send(12, quads(0), r.kick)
+	r.send(13, quads(0), r.call)
+	r.send(2, quads(features))
+	r.send(5, append(words(1, 0), quads(base, memSize, user, 0)...), r.fd)
+	r.send(8, words(0, num*2))
+	r.send(9, append(words(0, 0), quads(user+descAt, user+usedAt, user+availAt, 0)...))
+	r.send(10, words(0, 5)) // all that was needed is there since before this
+	r.send(8, words(0, num))
+	r.send(10, words(0, 0))
+	r.read(0)
+	r.publish(0)
+	wait(t, "an answer", func() bool { return r.usedIdx() == 1 })
+}
+
 // A descriptor that changes after it was read changes nothing: what was checked is what is used.
 func TestDescriptorChanges(t *testing.T) {
 	h := open(t, false)
--- a/internal/nvme/command.go
+++ b/internal/nvme/command.go
@@ -89,7 +89,7 @@
 // New starts a command; flags say that the data pointer is an SGL.
 func New(opcode uint8, nsid uint32) Command {
 	var c Command
-	c[0], c[1] = opcode, 0x40
+	c[0], c[1], c[39] = opcode, 0x40, sglTransport // of no length, until there is data
 	c.SetNSID(nsid)
 	return c
 }
@@ -97,7 +97,7 @@
 // NewFabrics starts a Fabrics command.
 func NewFabrics(kind uint8) Command {
 	var c Command
-	c[0], c[1], c[4] = OpFabrics, 0x40, kind
+	c[0], c[1], c[4], c[39] = OpFabrics, 0x40, kind, sglTransport
 	return c
 }
 
--- a/internal/nvme/initiator/discovery.go
+++ b/internal/nvme/initiator/discovery.go
@@ -87,10 +87,7 @@
 		return err
 	}
 	page := make([]byte, nvme.IdentifyLen)
-	c := nvme.New(nvme.OpIdentify, 0)
-	c.Set(10, nvme.CNSController)
-	c.Data(nvme.IdentifyLen, false)
-	if _, err := q.call(setup, "Identify the directory", c, nil, page); err != nil {
+	if err := identify(setup, q, nvme.CNSController, 0, page); err != nil {
 		return err
 	}
 	ctl, err := nvme.ParseController(page)
@@ -99,7 +96,7 @@
 	}
 	events := make(chan reply, 4)
 	if ctl.OAES&nvme.EventDiscovery != 0 {
-		c = nvme.New(nvme.OpSetFeatures, 0)
+		c := nvme.New(nvme.OpSetFeatures, 0)
 		c.Set(10, nvme.FeatAsyncEvent)
 		c.Set(11, nvme.EventDiscovery)
 		if _, err := q.call(setup, "Set Features Async Event", c, nil, nil); err != nil && !isStatus(err) {
--- a/internal/nvme/initiator/node.go
+++ b/internal/nvme/initiator/node.go
@@ -263,14 +263,7 @@
 		return nil, nil, err
 	}
 	page := make([]byte, nvme.IdentifyLen)
-	identify := func(cns uint8, nsid uint32) error {
-		c := nvme.New(nvme.OpIdentify, nsid)
-		c.Set(10, uint32(cns))
-		c.Data(nvme.IdentifyLen, false)
-		_, err := admin.call(ctx, "Identify", c, nil, page)
-		return err
-	}
-	if err := identify(nvme.CNSController, 0); err != nil {
+	if err := identify(ctx, admin, nvme.CNSController, 0, page); err != nil {
 		return nil, nil, err
 	}
 	s := &session{most: mostTransfer}
@@ -324,7 +317,7 @@
 			}
 		}
 	}
-	if err := n.readNamespaces(s, identify, page); err != nil {
+	if err := n.readNamespaces(ctx, s, admin); err != nil {
 		return nil, nil, err
 	}
 	if events := s.ctl.OAES & (nvme.EventANA | nvme.EventNamespace); events != 0 {
@@ -386,33 +379,57 @@
 	}
 }
 
-func (n *Node) readNamespaces(s *session, identify func(uint8, uint32) error, page []byte) error {
-	found := map[uint32]nvme.Namespace{}
-	for _, id := range n.cfg.Namespaces {
-		if err := identify(nvme.CNSNamespace, id); err != nil {
-			if !isStatus(err) {
+// readNamespaces identifies the namespaces that extents lie on, some at a time.
+func (n *Node) readNamespaces(ctx context.Context, s *session, admin *queue) error {
+	found := make([]*nvme.Namespace, len(n.cfg.Namespaces))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(16) // of the admin queue's 32 places
+	for i, id := range n.cfg.Namespaces {
+		g.Go(func() error {
+			page := make([]byte, nvme.IdentifyLen)
+			err := identify(ctx, admin, nvme.CNSNamespace, id, page)
+			if err != nil && !isStatus(err) {
 				return err
 			}
-			n.cfg.Log.Warn("namespace cannot be used", zap.Uint32("namespace", id), zap.Error(err))
-			continue
-		}
-		ns, err := nvme.ParseNamespace(page)
-		if err == nil && ns.Metadata {
-			err = errors.New("nvme: its blocks carry metadata")
-		}
-		if err == nil && ns.Blocks == 0 {
-			err = errors.New("nvme: it is not active")
-		}
-		if err != nil {
-			n.cfg.Log.Warn("namespace cannot be used", zap.Uint32("namespace", id), zap.Error(err))
-			continue
+			var ns nvme.Namespace
+			if err == nil {
+				ns, err = nvme.ParseNamespace(page)
+			}
+			if err == nil && ns.Metadata {
+				err = errors.New("nvme: its blocks carry metadata")
+			}
+			if err == nil && ns.Blocks == 0 {
+				err = errors.New("nvme: it is not active")
+			}
+			if err != nil {
+				n.cfg.Log.Warn("namespace cannot be used", zap.Uint32("namespace", id), zap.Error(err))
+				return nil
+			}
+			found[i] = &ns
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	m := map[uint32]nvme.Namespace{}
+	for i, id := range n.cfg.Namespaces {
+		if found[i] != nil {
+			m[id] = *found[i]
 		}
-		found[id] = ns
 	}
-	s.namespaces.Store(&found)
+	s.namespaces.Store(&m)
 	return nil
 }
 
+func identify(ctx context.Context, admin *queue, cns uint8, nsid uint32, page []byte) error {
+	c := nvme.New(nvme.OpIdentify, nsid)
+	c.Set(10, uint32(cns))
+	c.Data(nvme.IdentifyLen, false)
+	_, err := admin.call(ctx, "Identify", c, nil, page)
+	return err
+}
+
 // readANA reads the page and tells whether a group that extents lie on takes no new work.
 func (n *Node) readANA(ctx context.Context, s *session, admin *queue) error {
 	size := 16 + 32*uint64(s.ctl.ANAGroups) + 4*uint64(s.ctl.Namespaces)
@@ -516,14 +533,7 @@
 	defer cancel()
 	switch info {
 	case 0x00: // namespace attributes
-		page := make([]byte, nvme.IdentifyLen)
-		return n.readNamespaces(s, func(cns uint8, nsid uint32) error {
-			c := nvme.New(nvme.OpIdentify, nsid)
-			c.Set(10, uint32(cns))
-			c.Data(nvme.IdentifyLen, false)
-			_, err := admin.call(ctx, "Identify", c, nil, page)
-			return err
-		}, page)
+		return n.readNamespaces(ctx, s, admin)
 	case 0x03: // asymmetric namespace access
 		return n.readANA(ctx, s, admin)
 	}
