--- a/internal/front/ring/session.go
+++ b/internal/front/ring/session.go
@@ -36,6 +36,7 @@
 	rings     []*vring
 	inflight  *inflight    // nil: the front-end keeps none
 	draining  atomic.Bool  // nothing more is taken
+	handling  atomic.Bool  // a message is being carried out
 	callMu    sync.RWMutex // guards the rings' call and error descriptors against being closed in use
 	messageNo int
 	freezes   chan chan *frozen // to stand still, for a process that takes over
@@ -69,7 +70,13 @@
 	buf := make([]byte, mostPayload)
 	for {
 		var m message
-		if m, err = readMessage(s.conn, buf); err == errPaused {
+		s.handling.Store(false)
+		err = s.await()
+		s.handling.Store(true)
+		if err == nil {
+			m, err = readMessage(s.conn, buf)
+		}
+		if err == errPaused {
 			select {
 			case ask := <-s.freezes:
 				if !s.standStill(ask) {
@@ -112,6 +119,42 @@
 	return err
 }
 
+// await waits until a message begins to come, and leaves it where it is.
+func (s *session) await() error {
+	rc, err := s.conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var b [1]byte
+	err = rc.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return err != unix.EAGAIN
+	})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return errPaused
+	}
+	return err
+}
+
+// settled waits until every message that came before now has been carried out: what a front-end says before it kicks
+// holds for that kick, in whatever order it tells of a ring.
+func (s *session) settled(ctx context.Context) error {
+	rc, err := s.conn.SyscallConn()
+	for err == nil {
+		n := 0
+		if cerr := rc.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }); cerr != nil {
+			return cerr
+		}
+		if err == nil && n == 0 && !s.handling.Load() {
+			return nil
+		}
+		if !pause(ctx, 50*time.Microsecond) {
+			return ctx.Err()
+		}
+	}
+	return err
+}
+
 // signal writes to an eventfd of the client's, or whatever it is: without waiting.
 func (s *session) signal(fd *int) {
 	s.callMu.RLock()
--- a/internal/front/ring/vring.go
+++ b/internal/front/ring/vring.go
@@ -273,6 +273,11 @@
 				return
 			}
 		}
+		if first {
+			if err := v.s.settled(r.ctx); err != nil {
+				return // what else was told of the ring has ended this life of it, or the client is gone
+			}
+		}
 		for more := true; more; {
 			for {
 				if v.s.draining.Load() { // nothing more is taken in this gateway's life
