state show and check look at a folder without taking hold of it

Cause: the commands took the lock to see whether it is held, and wrote themselves into it; a gateway started at that moment was refused. They take a shared lock for the moment of looking now, and a start waits out up to 25 ms of that.

--- a/internal/state/operate.go
+++ b/internal/state/operate.go
@@ -7,7 +7,6 @@
 	"io"
 	"os"
 	"path/filepath"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -42,12 +41,8 @@
 	for _, a := range aside {
 		fmt.Fprintf(w, "set aside: %s\n", a)
 	}
-	if holder, err := os.ReadFile(filepath.Join(dir, lockName)); err == nil {
-		if s, err := Open(dir, strings.TrimSpace(string(holder))); err != nil {
-			fmt.Fprintf(w, "in use: %v\n", err)
-		} else {
-			s.Close()
-		}
+	if who := Holder(dir); who != "" {
+		fmt.Fprintf(w, "in use by %s\n", who)
 	}
 	return nil
 }
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -210,7 +210,13 @@
 	if !errors.As(err, &held) || held.Holder != "test" {
 		t.Errorf("a second holder: %v", err)
 	}
+	if who := Holder(dir); who != "test" {
+		t.Errorf("held by %q", who)
+	}
 	s.Close()
+	if who := Holder(dir); who != "" {
+		t.Errorf("held by %q, after it let go", who)
+	}
 	if s, err = Open(dir, "second"); err != nil {
 		t.Errorf("after the first let go: %v", err)
 	} else {
@@ -564,7 +570,7 @@
 		t.Fatal(err)
 	}
 	var show, export strings.Builder
-	if err := Show(&show, dir); err != nil || !strings.Contains(show.String(), "in use: ") || !strings.Contains(show.String(), "ended by itself") {
+	if err := Show(&show, dir); err != nil || !strings.Contains(show.String(), "in use by test") || !strings.Contains(show.String(), "ended by itself") {
 		t.Errorf("%v: %s", err, show.String())
 	}
 	if err := Export(&export, dir); err != nil {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -87,7 +87,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("state: %w", err)
 	}
-	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+	err = unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+	for tries := 0; errors.Is(err, unix.EWOULDBLOCK) && tries < 5; tries++ { // somebody may only be looking, see Holder
+		time.Sleep(5 * time.Millisecond)
+		err = unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB)
+	}
+	if err != nil {
 		who, _ := os.ReadFile(path)
 		f.Close()
 		if errors.Is(err, unix.EWOULDBLOCK) {
@@ -100,6 +105,21 @@
 	return &Store{dir: dir, files: disk(dir), lock: f}, nil
 }
 
+// Holder tells who holds a folder, "" where nobody does. It takes no hold of it but for the moment of looking.
+func Holder(dir string) string {
+	f, err := os.Open(filepath.Join(dir, lockName))
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_SH|unix.LOCK_NB); err == nil {
+		return ""
+	}
+	b := make([]byte, 256)
+	n, _ := f.Read(b)
+	return strings.TrimSpace(string(b[:n]))
+}
+
 // Lock is the descriptor by which the folder is held, to be handed to a process that takes over; below zero: none.
 func (s *Store) Lock() int {
 	if s.lock == nil {
