Handover: the old process saves no more; draining waits for answers on the rings

Cause, found on a second read: after go the old process could still save its state while the new one replaced the same file by the same temporary name, which could tear it; and a drain waited 20 ms for answers on their way to the rings, however many there were. The store is suspended before anything is handed over, and a drain now waits until none is owed. Measured: every ring test ends with none owed; a suspended store keeps the state it had; race detector clean.

--- a/internal/front/ring/raw_test.go
+++ b/internal/front/ring/raw_test.go
@@ -111,6 +111,9 @@
 			t.Error(err)
 		}
 		b.end(logic.Reset)
+		if n := srv.Owed(); n != 0 {
+			t.Errorf("%d answers are owed with nobody left", n)
+		}
 		if x := e.Tally(); x.Attempts != 0 || x.Ops != 0 {
 			t.Errorf("left behind: %+v", x)
 		}
--- a/internal/front/ring/server.go
+++ b/internal/front/ring/server.go
@@ -33,6 +33,7 @@
 	ctx        context.Context // ends all sessions
 	frozen     atomic.Bool     // nobody is let in, for now
 	handed     atomic.Bool     // another process has it all
+	owed       atomic.Int64    // requests taken whose answers are not on their rings
 	Sessions   atomic.Int64    // now
 	Ended      atomic.Int64    // with an error, since the start
 }
@@ -178,6 +179,9 @@
 	}
 }
 
+// Owed is how many requests were taken whose answers are not on their clients' rings yet.
+func (s *Server) Owed() int64 { return s.owed.Load() }
+
 // Close lets go of sockets that were never served.
 func (s *Server) Close() {
 	for _, v := range s.volumes {
--- a/internal/front/ring/vring.go
+++ b/internal/front/ring/vring.go
@@ -53,6 +53,7 @@
 	mu       sync.Mutex
 	requests []request // by head
 	out      int
+	owed     int // of the server's
 	done     []*engine.Op
 	stopping bool // nothing is taken any more
 	gone     bool // the client has left: answers are dropped
@@ -206,7 +207,8 @@
 	<-r.writer
 	v.base = r.q.lastAvail
 	v.run = nil
-	if r.gone { // nobody else changes it now
+	v.s.server.owed.Add(int64(-r.owed)) // what a client that left will not be told
+	if r.gone {                         // nobody else changes it now
 		for i := range r.requests {
 			if q := &r.requests[i]; q.busy && q.op != nil {
 				v.s.server.engine.Gone(q.op)
@@ -440,6 +442,8 @@
 	q.op, q.head, q.busy, q.advice, q.sent = op, head, true, advice, false
 	q.in, q.inLen = append(q.in[:0], r.buf.in...), r.buf.inLen
 	r.out++
+	r.owed++
+	r.v.s.server.owed.Add(1)
 	r.mu.Unlock()
 	if fresh {
 		r.q.lastAvail++
@@ -618,6 +622,10 @@
 		r.mu.Unlock()
 	}
 	call = r.q.publish()
+	r.mu.Lock()
+	r.owed -= len(batch)
+	r.mu.Unlock()
+	s.server.owed.Add(int64(-len(batch)))
 	if r.track != nil {
 		r.track.over(r.q.usedIdx)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -162,12 +162,15 @@
 	g.Rings.StopTaking()
 	drain, cancel := context.WithTimeout(hard, time.Duration(g.cfg.Times.Drain)*time.Microsecond)
 	err := g.Engine.Drained(drain)
+	for err == nil && g.Rings.Owed() > 0 { // answers on their way to the clients' rings
+		pause(drain, time.Millisecond)
+		err = drain.Err()
+	}
 	cancel()
 	if t := g.Engine.Tally(); err != nil {
 		err = fmt.Errorf("stopped with %d requests held: %w", t.Ops, err)
 	} else {
 		g.log.Info("drained")
-		pause(hard, 20*time.Millisecond) // for answers on their way to the clients' rings
 	}
 	g.stopFront()
 	rings.Wait()
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -169,6 +169,15 @@
 		say(c, talk{Word: "no", Why: err.Error()})
 		return err
 	}
+	// From here on the new process may write the state: two that replace one file would tear it.
+	g.store.Suspend(true)
+	stillHere := thaw
+	thaw = func(goOn bool) {
+		if goOn {
+			g.store.Suspend(false)
+		}
+		stillHere(goOn)
+	}
 	quiet := g.Engine.Quiet()
 	b, err := state.Encode(g.snapshot(true, quiet))
 	if err != nil {
--- a/internal/nvme/pdu.go
+++ b/internal/nvme/pdu.go
@@ -298,9 +298,6 @@
 	return cut(err)
 }
 
-// Buffered tells how many bytes can be read without waiting for the peer.
-func (r *Reader) Buffered() int { return r.br.Buffered() }
-
 func full(r io.Reader, b []byte) error {
 	_, err := io.ReadFull(r, b)
 	return cut(err)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -203,6 +203,21 @@
 	})
 }
 
+// A store that was handed over writes nothing any more, until it has it back.
+func TestSuspend(t *testing.T) {
+	s, _ := store(t)
+	for i, on := range []bool{false, true, false} {
+		s.Suspend(on)
+		if err := s.Save(some(i + 1)); err != nil {
+			t.Fatal(err)
+		}
+		st, err := s.Load("gw0")
+		if want := [3]int{1, 1, 3}[i]; err != nil || number(t, st) != want {
+			t.Errorf("state %d is found, want %d; %v", st.Logic.Turns, want, err)
+		}
+	}
+}
+
 func TestTwoHolders(t *testing.T) {
 	s, dir := store(t)
 	_, err := Open(dir, "second")
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -56,11 +56,12 @@
 
 // Store is a folder that one process holds.
 type Store struct {
-	dir      string
-	files    files
-	lock     *os.File
-	mu       sync.Mutex // saving
-	readOnly error      // why nothing is saved: a newer file is there
+	dir       string
+	files     files
+	lock      *os.File
+	mu        sync.Mutex // saving
+	suspended bool
+	readOnly  error // why nothing is saved: a newer file is there
 }
 
 // HeldError says that another process holds the folder.
@@ -177,10 +178,21 @@
 	return st, nil
 }
 
+// Suspend has Save do nothing, or something again. When it returns no save is under way, so that a process that is
+// handed the folder writes alone.
+func (s *Store) Suspend(on bool) {
+	s.mu.Lock()
+	s.suspended = on
+	s.mu.Unlock()
+}
+
 // Save replaces the state, whole or not at all. When it returns without error the new one is on stable storage.
 func (s *Store) Save(st *State) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.suspended {
+		return nil
+	}
 	if s.readOnly != nil {
 		return s.readOnly
 	}
