Decision module copies: mirrored extents, leads, marks, what a copy missed, catching up

The module decides where a change goes, when enough copies hold it, which may be read, what each has missed and when it is caught up; marks of regions, kept before the first send, make a restart safe.

--- /dev/null
+++ b/copies/copies_test.go
@@ -0,0 +1,580 @@
+package copies
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"appleplank/logic"
+
+	"pgregory.net/rapid"
+)
+
+func run(t testing.TB, s Settings) *bench {
+	set, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &bench{t: t, Set: set, now: sec, marks: map[int64]int{}}
+}
+
+// bench carries out what a set wants at once: marks are kept, sends wait for the test to end them.
+type bench struct {
+	t testing.TB
+	*Set
+	now      logic.Micros
+	marks    map[int64]int
+	broken   bool // marks cannot be kept
+	sent     []*Change
+	answered []*Change
+}
+
+func (b *bench) work() {
+	for out := b.Out(); len(out) > 0; out = b.Out() {
+		for _, o := range out {
+			switch o.Kind {
+			case Keep:
+				if !b.broken {
+					b.marks[o.Mark.Region] = o.Mark.Lead
+				}
+				b.Kept(b.now, o.Mark, !b.broken)
+			case Forget:
+				delete(b.marks, o.Mark.Region)
+			case Send:
+				b.sent = append(b.sent, o.Change)
+			case Answer:
+				b.answered = append(b.answered, o.Change)
+			}
+		}
+	}
+}
+
+func (b *bench) begin(from, to int64, ready Mask) *Change {
+	c := &Change{From: from, To: to, Patience: b.now + 100*ms, By: b.now + sec}
+	b.Begin(b.now, c, ready)
+	b.work()
+	return c
+}
+
+func (b *bench) end(c *Change, copy int, held, ran bool) {
+	b.Ended(b.now, c, copy, held, ran)
+	b.work()
+}
+
+func (b *bench) readable(from, to int64) Mask { m, _ := b.Readable(from, to); return m }
+
+func (b *bench) is(c *Change, want Verdict) {
+	b.t.Helper()
+	if n := slices.Index(b.answered, c); n < 0 || c.Verdict != want {
+		b.t.Fatalf("answered %v with verdict %d, want %d", n >= 0, c.Verdict, want)
+	}
+}
+
+// The ends of a change at two copies, and what they come to: its answer, the copies that may be read, the lead.
+func TestEnds(t *testing.T) {
+	const held, lost, refused, out = 0, 1, 2, 3 // lost: may have run
+	type ends [2]int
+	for _, x := range []struct {
+		hold     int
+		ends     ends
+		late     bool // the time for the leads has passed
+		answered bool
+		verdict  Verdict
+		readable Mask
+		lead     int
+	}{
+		{1, ends{held, held}, false, true, Served, 3, 0},
+		{2, ends{held, held}, false, true, Served, 3, 0},
+		{1, ends{held, out}, false, true, Served, 1, 0},
+		{2, ends{held, out}, true, false, 0, 1, 0},
+		{1, ends{out, held}, false, false, 0, 1, 0},
+		{1, ends{out, held}, true, true, Served, 2, 1}, // the lead hangs
+		{1, ends{lost, held}, false, true, Served, 2, 1},
+		{1, ends{refused, held}, false, true, Served, 2, 1},
+		{2, ends{lost, held}, false, true, Failed, 2, 1},
+		{2, ends{held, lost}, false, true, Failed, 1, 0},
+		{1, ends{held, refused}, false, true, Served, 1, 0},
+		{1, ends{lost, lost}, false, true, Failed, 1, 0},
+		{1, ends{lost, refused}, false, true, Failed, 1, 0},
+		{1, ends{refused, lost}, false, true, Failed, 1, 0},
+		{1, ends{refused, refused}, false, true, Refused, 3, 0},
+	} {
+		b := run(t, Settings{2, x.hold, 100, 1000})
+		c := b.begin(110, 120, 3)
+		if len(b.sent) != 1 || b.marks[1] != 0 || len(b.marks) != 1 {
+			t.Fatalf("%+v: sent %d, marks %v", x, len(b.sent), b.marks)
+		}
+		for copy, e := range x.ends {
+			if e != out {
+				b.end(c, copy, e == held, e == lost)
+			}
+		}
+		if x.late {
+			b.now += 200 * ms
+			b.Late(b.now)
+			b.work()
+		}
+		answered := slices.Contains(b.answered, c)
+		if m := b.readable(115, 116); answered != x.answered || answered && c.Verdict != x.verdict || m != x.readable || b.marks[1] != x.lead {
+			t.Errorf("%+v: answered %v, verdict %d, readable %b, lead %d", x, answered, c.Verdict, m, b.marks[1])
+		}
+	}
+}
+
+// With too few copies that are whole and in reach nothing is sent, and a retry is harmless.
+func TestTooFew(t *testing.T) {
+	b := run(t, Settings{3, 2, 100, 1000})
+	c := b.begin(0, 10, 0b100)
+	b.is(c, Refused)
+	if len(b.sent) > 0 || len(b.marks) > 0 {
+		t.Fatalf("sent %d, marks %v", len(b.sent), b.marks)
+	}
+	c = b.begin(0, 10, 0b110) // the lead is away: it moves, and the others carry on
+	b.end(c, 1, true, false)
+	b.end(c, 2, true, false)
+	b.is(c, Served)
+	if b.marks[0] != 1 || b.readable(0, 10) != 0b110 {
+		t.Fatalf("lead %d, readable %b", b.marks[0], b.readable(0, 10))
+	}
+	b.is(b.begin(0, 10, 0b101), Refused) // copy 0 is stale: only one whole one is in reach
+}
+
+// Marks that cannot be kept: a change is refused before it was sent anywhere; a lead does not move, and what depends on
+// it is not answered as served.
+func TestMarksFail(t *testing.T) {
+	b := run(t, Settings{2, 1, 100, 1000})
+	b.broken = true
+	b.is(b.begin(0, 10, 3), Refused)
+	if len(b.sent) > 0 {
+		t.Fatal("sent without a mark")
+	}
+	b.broken = false
+	c := b.begin(0, 10, 3)
+	b.broken = true
+	b.end(c, 1, true, false)
+	b.end(c, 0, false, true)
+	b.is(c, Failed)
+	d := b.begin(0, 10, 3)
+	b.is(d, Refused) // where the lead stands is not known until a mark can be kept again
+	b.broken = false
+	d = b.begin(0, 10, 3)
+	b.end(d, 0, true, false)
+	b.is(d, Served)
+}
+
+// Marks go once their regions are quiet, and after a restart every marked region is as its lead has it.
+func TestMarksOutlive(t *testing.T) {
+	b := run(t, Settings{2, 1, 100, 1000})
+	for i := range int64(3) {
+		c := b.begin(i*100, i*100+10, 3)
+		b.end(c, 0, true, false)
+		if i > 0 {
+			b.end(c, 1, i == 1, false)
+		}
+	}
+	again := run(t, Settings{2, 1, 100, 1000})
+	for n, lead := range b.marks {
+		if err := again.Remember(Mark{n, lead}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if again.Stale() != 3 || again.readable(0, 10) != 1 || again.readable(250, 260) != 1 || again.readable(300, 310) != 3 {
+		t.Fatalf("%d stale regions", again.Stale())
+	}
+	for _, m := range []Mark{{-1, 0}, {10, 0}, {0, 2}, {0, -1}} {
+		if again.Remember(m) == nil {
+			t.Errorf("mark %v was taken", m)
+		}
+	}
+	b.end(b.sent[0], 1, true, false)
+	for range 20 {
+		b.now += sec
+		b.Late(b.now)
+		b.work()
+	}
+	if len(b.marks) != 1 { // the one that copy 1 has missed
+		t.Errorf("marks %v are left", b.marks)
+	}
+}
+
+// Catching up: only what was missed, from the lead, once both are in reach; a write that is missed meanwhile keeps the
+// copy stale; failures wait longer each time, and advice is followed.
+func TestFill(t *testing.T) {
+	b := run(t, Settings{2, 1, 100, 1000})
+	miss := func(from, to int64) {
+		c := b.begin(from, to, 1)
+		b.end(c, 0, true, false)
+		b.is(c, Served)
+	}
+	miss(110, 120)
+	miss(150, 160)
+	if _, ok, wait := b.Fill(b.now, 1); ok || wait == 0 {
+		t.Fatalf("%v, %v with one copy in reach", ok, wait)
+	}
+	f, ok, _ := b.Fill(b.now, 3)
+	if !ok || f.From != 110 || f.To != 160 || f.Source != 0 || f.Target != 1 {
+		t.Fatalf("%+v, %v", f, ok)
+	}
+	if _, ok, _ := b.Fill(b.now, 3); ok {
+		t.Fatal("caught up twice at once")
+	}
+	if need := b.Need(170, 180); need != 3 {
+		t.Fatalf("a change meanwhile goes to %b", need)
+	}
+	miss(170, 180)
+	b.Filled(b.now, f, true, 0)
+	if b.readable(110, 120) != 1 {
+		t.Fatal("read though something was missed meanwhile")
+	}
+	if f, ok, _ = b.Fill(b.now, 3); !ok || f.From != 170 || f.To != 180 {
+		t.Fatalf("%+v, %v", f, ok)
+	}
+	b.Filled(b.now, f, false, 0)
+	for want := firstPause; want <= 400*ms; want *= 2 {
+		if _, ok, wait := b.Fill(b.now, 3); ok || wait != want {
+			t.Fatalf("wait %v, want %v", wait, want)
+		}
+		b.now += want
+		if f, ok, _ = b.Fill(b.now, 3); !ok || f.From != 100 || f.To != 200 {
+			t.Fatalf("%+v, %v", f, ok)
+		}
+		b.Filled(b.now, f, false, 0)
+	}
+	b.now += mostPause
+	f, _, _ = b.Fill(b.now, 3)
+	b.Filled(b.now, f, false, 3*sec) // refused with advice
+	if _, ok, wait := b.Fill(b.now, 3); ok || wait != 3*sec {
+		t.Fatalf("wait %v", wait)
+	}
+	b.now += 3 * sec
+	f, _, _ = b.Fill(b.now, 3)
+	b.Filled(b.now, f, true, 0)
+	if b.Stale() != 0 || !b.Whole(1) || b.readable(110, 200) != 3 {
+		t.Fatalf("%d regions are stale", b.Stale())
+	}
+}
+
+// Reads are split where no copy holds all.
+func TestReadable(t *testing.T) {
+	b := run(t, Settings{2, 1, 100, 1000})
+	c := b.begin(50, 60, 2) // region 0: copy 0 is stale
+	b.end(c, 1, true, false)
+	c = b.begin(150, 160, 1) // region 1: copy 1 is stale
+	b.end(c, 0, true, false)
+	for _, x := range []struct {
+		from, to int64
+		m        Mask
+		end      int64
+	}{{0, 100, 2, 100}, {0, 300, 2, 100}, {100, 300, 1, 300}, {200, 300, 3, 300}, {90, 110, 2, 100}} {
+		if m, end := b.Readable(x.from, x.to); m != x.m || end != x.end {
+			t.Errorf("[%d, %d): %b up to %d, want %b up to %d", x.from, x.to, m, end, x.m, x.end)
+		}
+	}
+}
+
+func TestChoose(t *testing.T) {
+	home, away, down := Seen{true, true, 10}, Seen{false, true, 10}, Seen{false, false, 0}
+	late := func(s Seen, t logic.Micros) Seen { s.Takes = t; return s }
+	for _, x := range []struct {
+		m      Mask
+		seen   []Seen
+		copy   int
+		spills bool
+	}{
+		{3, []Seen{away, home}, 1, false},
+		{1, []Seen{away, home}, 0, false},                         // the one at home is stale
+		{3, []Seen{away, late(home, 90)}, 1, false},               // later, but within the aim
+		{3, []Seen{away, late(home, 200)}, 0, true},               // too late at home
+		{3, []Seen{late(away, 180), late(home, 200)}, 1, false},   // too late everywhere, and little gained
+		{3, []Seen{late(away, 150), late(home, 2000)}, 0, true},   // too late everywhere, much gained
+		{7, []Seen{late(home, 50), home, away}, 1, false},         // the sooner at home
+		{3, []Seen{down, away}, 1, false},                         //
+		{3, []Seen{down, down}, 0, false},                         // nowhere: the lowest refuses
+		{6, []Seen{home, down, late(away, 5000)}, 2, false},       // none else
+		{3, []Seen{{true, false, 0}, late(away, 5000)}, 1, false}, // at home none is in reach
+	} {
+		if copy, spills, _ := Choose(x.m, x.seen, 100); copy != x.copy || spills != x.spills {
+			t.Errorf("%b of %v: copy %d, spills %v", x.m, x.seen, copy, spills)
+		}
+	}
+}
+
+// Any course of changes, ends, marks that fail, catching up, and crashes: a read from any copy it may go to never gives
+// less than was answered as served, and copies that may be read are alike where no change is on its way.
+func TestCopiesModel(t *testing.T) {
+	for range 20 { // -rapid.checks=400000 is what finds the rarest of the faults that were put in on trial
+		rapid.Check(t, model)
+	}
+}
+
+const blocks = 12
+
+type send struct {
+	change *change
+	fill   *filling
+}
+
+type change struct {
+	Change
+	value int
+}
+
+type filling struct {
+	Fill
+	data   []int // nil: not read yet
+	failed bool
+}
+
+func model(t *rapid.T) {
+	n := rapid.IntRange(2, 3).Draw(t, "copies")
+	cfg := Settings{n, rapid.IntRange(1, n).Draw(t, "hold"), 4, blocks}
+	set, _ := New(cfg)
+	now := sec
+	disk := make([][]int, n)
+	for i := range disk {
+		disk[i] = make([]int, blocks)
+	}
+	queue := make([][]*send, n) // in the order of the changes, as the caller keeps it
+	marks := map[int64]int{}
+	var keeps []Output
+	acked := make([]int, blocks)
+	values := 0
+	var live []*change
+	work := func() {
+		for out := set.Out(); len(out) > 0; out = set.Out() {
+			for _, o := range out {
+				switch o.Kind {
+				case Keep, Forget:
+					keeps = append(keeps, o)
+				case Send:
+					c := o.Change.Owner.(*change)
+					values++ // the order of changes is that in which they are sent
+					c.value = values
+					for i := range n {
+						if c.Sent.Has(i) {
+							queue[i] = append(queue[i], &send{change: c})
+						}
+					}
+				case Answer:
+					c := o.Change.Owner.(*change)
+					for b := c.From; b < c.To && c.Verdict == Served; b++ {
+						acked[b] = max(acked[b], c.value)
+					}
+				}
+			}
+		}
+	}
+	check := func() {
+		for b := range int64(blocks) {
+			m, _ := set.Readable(b, b+1)
+			if m == 0 {
+				t.Fatalf("block %d can be read nowhere", b)
+			}
+			first := m.First()
+			for i := range n {
+				if !m.Has(i) {
+					continue
+				}
+				if disk[i][b] < acked[b] {
+					t.Fatalf("block %d of copy %d holds %d, %d was served (readable %b)", b, i, disk[i][b], acked[b], m)
+				}
+				if disk[i][b] != disk[first][b] {
+					t.Fatalf("block %d: copy %d holds %d, copy %d %d", b, i, disk[i][b], first, disk[first][b])
+				}
+			}
+		}
+	}
+	apply := func(i int, s *send) {
+		if s.fill != nil {
+			if s.fill.Target == i {
+				copy(disk[i][s.fill.From:s.fill.To], s.fill.data)
+			}
+			return
+		}
+		for b := s.change.From; b < s.change.To; b++ {
+			disk[i][b] = s.change.value
+		}
+	}
+	pop := func(i int) *send {
+		s := queue[i][0]
+		queue[i] = queue[i][1:]
+		return s
+	}
+	any := func(name string) int { return rapid.IntRange(0, n-1).Draw(t, name) }
+	t.Repeat(map[string]func(*rapid.T){
+		"": func(*rapid.T) { work(); check() },
+		"begin": func(t *rapid.T) {
+			from := rapid.Int64Range(0, blocks-1).Draw(t, "from")
+			c := &change{}
+			c.From, c.To, c.Owner = from, rapid.Int64Range(from+1, min(from+5, blocks)).Draw(t, "to"), c
+			c.Patience, c.By = now+rapid.SampledFrom([]logic.Micros{ms, 50 * ms}).Draw(t, "patience"), now+sec
+			live = append(live, c)
+			set.Begin(now, &c.Change, Mask(rapid.IntRange(0, 1<<n-1).Draw(t, "ready")))
+		},
+		"keep": func(t *rapid.T) {
+			if len(keeps) == 0 {
+				t.Skip()
+			}
+			o := keeps[0]
+			keeps = keeps[1:]
+			if o.Kind == Forget {
+				delete(marks, o.Mark.Region)
+				return
+			}
+			ok := rapid.IntRange(0, 9).Draw(t, "kept") > 0
+			if ok || rapid.Bool().Draw(t, "stands all the same") {
+				marks[o.Mark.Region] = o.Mark.Lead
+			}
+			set.Kept(now, o.Mark, ok)
+		},
+		"end": func(t *rapid.T) {
+			i := any("copy")
+			if len(queue[i]) == 0 {
+				t.Skip()
+			}
+			s := queue[i][0]
+			how := rapid.IntRange(0, 5).Draw(t, "how") // 0: refused, 1: lost, not run, 2: lost, run
+			if f := s.fill; f != nil {
+				if f.Source == i {
+					pop(i)
+					f.failed = how < 2
+					f.data = slices.Clone(disk[i][f.From:f.To])
+					return
+				}
+				if f.data == nil {
+					t.Skip() // it waits for what is read
+				}
+				pop(i)
+				if !f.failed && how > 1 {
+					apply(i, s)
+				}
+				set.Filled(now, f.Fill, !f.failed && how > 2, 0)
+				return
+			}
+			pop(i)
+			if how > 1 {
+				apply(i, s)
+			}
+			set.Ended(now, &s.change.Change, i, how > 2, how == 1 || how == 2)
+		},
+		"fill": func(t *rapid.T) {
+			if f, ok, _ := set.Fill(now, Mask(rapid.IntRange(0, 1<<n-1).Draw(t, "ready"))); ok {
+				s := &send{fill: &filling{Fill: f}}
+				queue[f.Source] = append(queue[f.Source], s)
+				queue[f.Target] = append(queue[f.Target], s)
+			}
+		},
+		"gone": func(t *rapid.T) {
+			if len(live) > 0 {
+				set.Gone(now, &live[rapid.IntRange(0, len(live)-1).Draw(t, "which")].Change)
+			}
+		},
+		"pass": func(t *rapid.T) {
+			now += rapid.SampledFrom([]logic.Micros{ms, 60 * ms, 2 * sec, 7 * sec}).Draw(t, "time")
+			set.Late(now)
+		},
+		"crash": func(t *rapid.T) {
+			if rapid.IntRange(0, 4).Draw(t, "really") > 0 {
+				t.Skip()
+			}
+			for i := range n { // what is out runs or does not, in order; nothing lands later, as changes rest after a start
+				for _, s := range queue[i] {
+					if (s.fill == nil || s.fill.Target == i && s.fill.data != nil && !s.fill.failed) && rapid.Bool().Draw(t, "runs") {
+						apply(i, s)
+					}
+				}
+				queue[i] = nil
+			}
+			for _, o := range keeps {
+				if rapid.Bool().Draw(t, "kept in time") {
+					if o.Kind == Forget {
+						delete(marks, o.Mark.Region)
+					} else {
+						marks[o.Mark.Region] = o.Mark.Lead
+					}
+				} else {
+					break
+				}
+			}
+			keeps, live = nil, nil
+			set, _ = New(cfg)
+			for n := range int64(blocks / 4) {
+				if lead, ok := marks[n]; ok {
+					if err := set.Remember(Mark{n, lead}); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+		},
+	})
+	// In the end everything can be caught up.
+	for range 200 {
+		work()
+		for len(keeps) > 0 {
+			o := keeps[0]
+			keeps = keeps[1:]
+			if o.Kind == Keep {
+				set.Kept(now, o.Mark, true)
+			}
+			work()
+		}
+		for i := range queue {
+			for len(queue[i]) > 0 {
+				s := queue[i][0]
+				if f := s.fill; f != nil && f.Source == i {
+					f.data = slices.Clone(disk[i][f.From:f.To])
+				} else if f != nil {
+					if f.data == nil {
+						break
+					}
+					if !f.failed {
+						apply(i, s)
+					}
+					set.Filled(now, f.Fill, !f.failed, 0)
+				} else {
+					apply(i, s)
+					set.Ended(now, &s.change.Change, i, true, false)
+				}
+				pop(i)
+				work()
+			}
+		}
+		check()
+		now += 11 * sec
+		set.Late(now)
+		if f, ok, _ := set.Fill(now, all(n)); ok {
+			s := &send{fill: &filling{Fill: f}}
+			queue[f.Source] = append(queue[f.Source], s)
+			queue[f.Target] = append(queue[f.Target], s)
+		}
+	}
+	if set.Stale() != 0 || set.regions.Len() != 0 || len(set.live) != 0 {
+		t.Fatalf("%d stale regions, %d entries and %d changes are left: %s", set.Stale(), set.regions.Len(), len(set.live), fmt.Sprint(set.Tally))
+	}
+	for i := range disk {
+		if !slices.Equal(disk[i], disk[0]) {
+			t.Fatalf("copy %d holds %v, copy 0 %v", i, disk[i], disk[0])
+		}
+	}
+}
+
+// What a change costs that needs no new mark, and a read, among a thousand regions that are marked.
+func BenchmarkCopies(b *testing.B) {
+	s, _ := New(Settings{2, 1, 1 << 20, 1 << 40})
+	for i := range int64(1000) {
+		r := s.at(i)
+		r.kept = true
+	}
+	var c Change
+	now := sec
+	b.ReportAllocs()
+	for i := range b.N {
+		from := int64(i%1000) << 20
+		c = Change{From: from, To: from + 4096, By: now + sec}
+		s.Begin(now, &c, 3)
+		s.Ended(now, &c, 0, true, false)
+		s.Ended(now, &c, 1, true, false)
+		s.Readable(from, from+4096)
+		s.out = s.out[:0]
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -157,6 +157,7 @@
 	Attached float64 // hosts through which the volume's requests come
 	Units    float64
 	DropDead Micros // when the client stops waiting for this try
+	Tried    int    // attempts made before under other ids, at cells that hold the same
 }
 
 // StreamStarted says that an answer has begun to stream: the request has no deadline any more.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -159,7 +159,7 @@
 	if h.requests[e.Request] != nil {
 		return
 	}
-	if h.set.Rules.BudgetWindow > 0 {
+	if h.set.Rules.BudgetWindow > 0 && e.Tried <= 0 {
 		h.taken = append(h.taken, h.now)
 	}
 	if e.Class < 0 || e.Class >= len(h.set.Classes) {
@@ -170,7 +170,7 @@
 	h.seq++
 	r := &request{
 		id: e.Request, seq: h.seq, class: &h.set.Classes[e.Class], vol: v, cell: max(e.Cell, -1), key: e.Key,
-		units: e.Units, arrived: h.now, dropDead: e.DropDead,
+		units: e.Units, arrived: h.now, dropDead: e.DropDead, tried: max(e.Tried, 0), charged: e.Tried > 0,
 	}
 	if !(r.units > 0) || math.IsInf(r.units, 0) {
 		r.units = 1 // can't be right
@@ -303,7 +303,7 @@
 // mayRepeat tells whether a further attempt can still be made at r.after.
 func (h *Host) mayRepeat(r *request) bool {
 	once := r.maybe && (r.class.Repeat == Fragile || r.after >= r.until)
-	more := h.set.MaxAttempts == 0 || len(r.attempts) < h.set.MaxAttempts
+	more := h.set.MaxAttempts == 0 || r.tries() < h.set.MaxAttempts
 	return more && !once && !r.stream && r.after+answerBy < r.dropDead
 }
 
@@ -487,6 +487,24 @@
 	return at
 }
 
+// Outlook is how long an answer from a cell would take a request that came now, by all that is known of its
+// nodes: for callers that may choose between cells that hold the same. Where a window is full, one answer is
+// waited for first.
+func (h *Host) Outlook(cell int, units float64) Micros {
+	at := never
+	for _, n := range h.cells[cell] {
+		t := h.opens(n, units, false)
+		if t < never && !h.room(n, 0) {
+			t += Micros(h.pace(n))
+		}
+		at = min(at, t)
+	}
+	if at >= never {
+		return never
+	}
+	return at - h.now + Micros(h.unit*units)
+}
+
 // ---- cycle ----
 
 // credit adds what the queue's reservation has earned since the last visit. It is called only for a
@@ -609,7 +627,7 @@
 // place finds the node for r: the one that holds its shard, or for a new object, of those that take it now,
 // the one with the least estimated outstanding load; nil where none does.
 func (h *Host) place(r *request, pass int, late bool) *node {
-	if len(r.attempts) > 0 && !h.budgetAllows() || late && !r.charged && !h.sliceFull(r.vol) {
+	if r.tries() > 0 && !h.budgetAllows() || late && !r.charged && !h.sliceFull(r.vol) {
 		return nil
 	}
 	// Herd guard: a node not heard of yet, as after its start, is taken to be as fast as the others, or it
@@ -649,7 +667,7 @@
 			r.vol.store, r.vol.stored = h.fill(r.vol)-r.units, h.now
 		}
 	}
-	if len(r.attempts) > 0 && h.set.Rules.BudgetWindow > 0 {
+	if r.tries() > 0 && h.set.Rules.BudgetWindow > 0 {
 		h.extra = append(h.extra, h.now)
 	}
 	a := &attempt{req: r, node: n, sent: h.now}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -728,6 +728,52 @@
 	}
 }
 
+// A request that was tried at another cell before goes on: its send here is a further attempt, it draws on no limit a
+// second time, and the attempts there count.
+func TestTriedElsewhere(t *testing.T) {
+	s := plain()
+	s.Rules.BudgetWindow, s.Rules.BudgetFree, s.Rules.BudgetPerTake, s.MaxAttempts = sec, 1, 0, 3
+	b := newBench(t, s, 1)
+	tried := func(n int) func(*Arrival) { return func(a *Arrival) { a.Tried = n } }
+	got := b.step(b.ask(0, 2, tried(2)))
+	if len(sends(got)) != 1 || b.h.volumes[2].store > 0 {
+		t.Fatalf("sent %v, the limit's store holds %v", sends(got), b.h.volumes[2].store)
+	}
+	if got := b.after(ms, end(1, 0, 1, Failed)); !has(got, Deny{Request: 1}) {
+		t.Errorf("%v after the third attempt, want it given up", got)
+	}
+	if got := sends(b.step(b.ask(0, 0, tried(1)))); len(got) != 0 {
+		t.Error("sent past the budget of further attempts")
+	}
+	if got := sends(b.step(b.ask(0, 0))); len(got) != 1 {
+		t.Error("a first attempt was held back by the budget")
+	}
+}
+
+// Outlook is never without a node, and grows with what waits, with a rest, with a full window.
+func TestOutlook(t *testing.T) {
+	b := newBench(t, plain(), 2)
+	if got := b.h.Outlook(7, 1); got != never {
+		t.Errorf("%d for a cell that nobody holds", got)
+	}
+	b.h.unit = 1000
+	free := b.h.Outlook(0, 2)
+	if free != 2*ms {
+		t.Errorf("%d at a free node, want the request's own time", free)
+	}
+	b.fill()
+	full := b.h.Outlook(0, 2)
+	b.h.hear(b.h.order[0], 80*1e3)
+	waits := b.h.Outlook(0, 2)
+	if full <= free || waits < full+70*ms || b.h.Outlook(1, 2) >= full {
+		t.Errorf("free %d, full %d, with 80 ms of wait %d, the other %d", free, full, waits, b.h.Outlook(1, 2))
+	}
+	b.step(NodeList{Kind: ListDelta, Nodes: []Node{{ID: 1, Cell: 0, State: Draining}}})
+	if got := b.h.Outlook(0, 2); got != never {
+		t.Errorf("%d at a node that drains", got)
+	}
+}
+
 func TestStreamHasNoDeadline(t *testing.T) {
 	b := newBench(t, plain(), 1)
 	a := b.ask(4, 0)
--- a/logic/state.go
+++ b/logic/state.go
@@ -60,6 +60,7 @@
 	aimAt    Micros
 	dropDead Micros
 	attempts []*attempt
+	tried    int // attempts before it came here
 	out      int
 	queued   bool // in a lane of its volume
 	waiting  bool // held: owed an answer, no attempt out
@@ -73,6 +74,9 @@
 	chain    *chain
 }
 
+// tries is how many attempts were made.
+func (r *request) tries() int { return r.tried + len(r.attempts) }
+
 // what is all that a request and its client's repeat have in common.
 type what struct {
 	vol   *volume
--- a/ranges/ranges.go
+++ b/ranges/ranges.go
@@ -11,6 +11,9 @@
 package ranges
 
 import (
+	"cmp"
+	"slices"
+
 	"appleplank/logic"
 
 	"github.com/tidwall/btree"
@@ -37,6 +40,7 @@
 	key      uint64 // 0: held back, without a key yet
 	by       logic.Micros
 	over     bool
+	bound    bool // reserved: it gets its key when Ready says so
 	rest     logic.Micros
 }
 
@@ -74,6 +78,35 @@
 	return key, ok
 }
 
+// Reserve takes the place of a change in the turn of others before it is known what it will write; those behind it
+// that overlap it are held until [Order.Ready] has given it its key. It holds them up for as long as its caller takes.
+func (o *Order) Reserve(id logic.RequestID, from, to int64) {
+	o.seq++
+	e := &entry{id: id, seq: o.seq, from: from, to: to, bound: true}
+	o.longest = max(o.longest, to-from)
+	o.byID[id] = e
+	o.live.Set(e)
+}
+
+// Ready says that a reserved change may go, until by. Like Take it gives the key, or holds it.
+func (o *Order) Ready(id logic.RequestID, by logic.Micros) (key uint64, ok bool) {
+	e := o.byID[id]
+	if e == nil || !e.bound {
+		return 0, false
+	}
+	e.bound, e.by = false, by
+	if o.still == 0 {
+		key, ok = o.find(e)
+	}
+	if ok {
+		e.key, o.freed = key, true // those behind it may go now
+		return key, true
+	}
+	at, _ := slices.BinarySearchFunc(o.held, e, func(a, b *entry) int { return cmp.Compare(a.seq, b.seq) })
+	o.held = slices.Insert(o.held, at, e)
+	return 0, false
+}
+
 // Rest holds every change back until the given time. It guards against attempts of an earlier process that was killed:
 // which bytes they change is not known, and a node may go on with them for a while. It costs the first changes after
 // such a start that while.
--- a/ranges/ranges_test.go
+++ b/ranges/ranges_test.go
@@ -59,6 +59,55 @@
 	}
 }
 
+// A reserved place holds what comes behind it and overlaps, and itself waits for what was before it.
+func TestReserve(t *testing.T) {
+	o := New(keys())
+	o.Take(1, 0, 10, 1000)
+	o.Reserve(2, 5, 15)
+	if _, ok := o.Take(3, 12, 20, 1000); ok {
+		t.Fatal("taken past a reserved place")
+	}
+	if _, ok := o.Take(4, 20, 30, 1000); !ok {
+		t.Fatal("held though it overlaps nothing")
+	}
+	var got []logic.RequestID
+	free := func() []logic.RequestID {
+		got = nil
+		o.Free(10, func(id logic.RequestID, _ uint64) { got = append(got, id) })
+		return got
+	}
+	o.Done(4, 0)
+	if len(free()) > 0 {
+		t.Fatalf("freed %v before the reserved one is ready", got)
+	}
+	if key, ok := o.Ready(2, 1000); !ok || key != 1 {
+		t.Fatalf("key %d, %v; it overlaps what has key 1", key, ok)
+	}
+	if free(); len(got) != 1 || got[0] != 3 {
+		t.Fatalf("freed %v, want 3", got)
+	}
+	o.Reserve(5, 0, 40)
+	o.Take(6, 0, 1, 1000)
+	o.Take(7, 2, 3, 1000)
+	o.Done(5, 0) // given up without ever being ready
+	if free(); len(got) != 2 {
+		t.Fatalf("freed %v, want 6 and 7", got)
+	}
+	if _, ok := o.Ready(5, 1); ok {
+		t.Fatal("ready after its end")
+	}
+	// After a start all rest, the reserved one too.
+	o.Rest(100)
+	o.Reserve(8, 50, 60)
+	if _, ok := o.Ready(8, 1000); ok {
+		t.Fatal("ready while all rests")
+	}
+	o.Free(100, func(id logic.RequestID, _ uint64) { got = append(got, id) })
+	if got[len(got)-1] != 8 {
+		t.Fatalf("freed %v", got)
+	}
+}
+
 func TestExpired(t *testing.T) {
 	o := New(keys())
 	o.Take(1, 0, 10, 1000)
