Mirrored extents: changes to several copies, reads from a whole one, catching up

The engine's core carries out what package copies decides: a change goes to each copy as a piece of its own, in that copy's order, always durable at the node (a copy that crashed must not lose what was answered); a read goes to a whole copy at home, spills where that is too late, and goes on elsewhere as the same request; what a copy missed is read and written anew as the least class on a plan without reserve. Settings: mirrors in an extent, copies(); a zone that is not told is foreign.

--- a/copies/copies.go
+++ b/copies/copies.go
@@ -264,6 +264,7 @@
 		s.Tally.Refused++
 		c.Verdict = Refused
 		s.answer(c)
+		s.next = c.From / s.set.Region // what is wanted is caught up first
 		return
 	}
 	s.seq++
@@ -719,6 +720,9 @@
 	}
 }
 
+// Idle tells that nothing is known of the extent but that all its copies are whole.
+func (s *Set) Idle() bool { return s.regions.Len() == 0 && len(s.live) == 0 && len(s.out) == 0 }
+
 // Marks gives what must outlast the process, by region; what Kept was told of and Forget was not.
 func (s *Set) Marks() (out []Mark) {
 	s.regions.Scan(func(n int64, r *region) bool {
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -9,6 +9,7 @@
 	"container/heap"
 	"fmt"
 
+	"appleplank/copies"
 	"appleplank/crossing"
 	"appleplank/internal/block"
 	"appleplank/internal/settings"
@@ -26,14 +27,23 @@
 	Drop                     // drop Attempt
 	Finish                   // answer Op
 	Note                     // log Text
+	Keep                     // bring Mark to stable storage and say so with Kept; those of a region in turn
+	Forget                   // take Mark away, some time
 )
 
 // Action is something to do, in turn.
 type Action struct {
 	Kind    ActionKind
 	Attempt *block.Attempt
-	Op      *Op
+	Op      *Op // of Start too; without a front where a copy is caught up
 	Text    string
+	Mark    Mark
+}
+
+// Mark is what must outlast the process of a region of a mirrored extent.
+type Mark struct {
+	Volume, Extent int // indexes in the settings
+	copies.Mark
 }
 
 // Tally counts what the core has done since it began, and what it holds now.
@@ -42,6 +52,7 @@
 	Answers        [3]uint64 // by verdict
 	Sends, Repeats uint64
 	Held           uint64 // changes held back because they overlapped several
+	Elsewhere      uint64 // reads that went on at another copy
 	NoMemory       uint64 // attempts not made for want of a buffer
 	Outcomes       [8]uint64
 	LateEnds       uint64 // ends of attempts that logic had been told of as timed out
@@ -71,12 +82,16 @@
 	budget  *crossing.Budget
 	nodes   map[logic.NodeID]logic.Node
 	home    map[int]bool // cells that a ready node of this gateway's zone holds
+	ready   map[int]bool // cells that a ready node holds
 	ledger  map[ledgerKey]*Crossed
+	mirrors mirrors
 }
 
 type volume struct {
 	*settings.Volume
-	order  *ranges.Order
+	index  int
+	orders []*ranges.Order // one for each copy that an extent has; what has no mirrors uses the first
+	sets   []*copies.Set   // for each extent; nil where it has one copy
 	memory *semaphore.Weighted
 }
 
@@ -96,6 +111,7 @@
 	place  int  // in the heap; below zero: not there
 	volume int
 	class  int
+	reason Reason
 	asked  float64 // bytes of the budget that it has been let through with
 }
 
@@ -111,12 +127,25 @@
 		return nil, err
 	}
 	c := &Core{cfg: cfg, host: host, pieces: map[logic.RequestID]*piece{}, nonce: nonce << 32, budget: budget,
-		nodes: map[logic.NodeID]logic.Node{}, home: map[int]bool{}, ledger: map[ledgerKey]*Crossed{}}
+		nodes: map[logic.NodeID]logic.Node{}, home: map[int]bool{}, ready: map[int]bool{}, ledger: map[ledgerKey]*Crossed{}}
 	lastKey := uint64(0)
 	for i := range cfg.Volumes {
 		v := &cfg.Volumes[i]
-		order := ranges.New(func() uint64 { lastKey++; return lastKey })
-		c.vols = append(c.vols, volume{v, order, semaphore.NewWeighted(v.Memory)})
+		vol := volume{Volume: v, index: i, memory: semaphore.NewWeighted(v.Memory)}
+		for j := range v.Extents {
+			x := &v.Extents[j]
+			var set *copies.Set
+			if len(x.Copies) > 1 {
+				if set, err = copies.New(copies.Settings{Copies: len(x.Copies), Hold: cfg.Copies.Hold, Region: cfg.Copies.Region, Size: x.Len}); err != nil {
+					return nil, err
+				}
+			}
+			vol.sets = append(vol.sets, set)
+			for len(vol.orders) < len(x.Copies) {
+				vol.orders = append(vol.orders, ranges.New(func() uint64 { lastKey++; return lastKey }))
+			}
+		}
+		c.vols = append(c.vols, vol)
 	}
 	return c, nil
 }
@@ -128,15 +157,19 @@
 // Rest holds changes back for the time of the order rule's pause, as attempts of a process that was killed may run.
 func (c *Core) Rest(now logic.Micros) {
 	for i := range c.vols {
-		c.vols[i].order.Rest(now + c.cfg.Logic.Rules.OrderPause)
+		for _, o := range c.vols[i].orders {
+			o.Rest(now + c.cfg.Logic.Rules.OrderPause)
+		}
 	}
 }
 
 // Quiet tells whether nothing is held, and nothing that was sent may still run at a node.
 func (c *Core) Quiet() bool {
 	for i := range c.vols {
-		if live, held, resting := c.vols[i].order.Len(); live+held+resting > 0 {
-			return false
+		for _, o := range c.vols[i].orders {
+			if live, held, resting := o.Len(); live+held+resting > 0 {
+				return false
+			}
 		}
 	}
 	return c.tally.Ops == 0 && c.tally.Attempts == 0
@@ -169,51 +202,79 @@
 	op.joined, op.answer = op.Ran, ranges.Served
 	op.Class, _ = v.Class(op.Kind, op.Len)
 	by := now + cmp.Or(op.Left, c.cfg.Logic.Classes[op.Class].Deadline) - c.cfg.Times.AnswerMargin
-	add := func(x *settings.Extent, from, n int64) {
-		c.lastID++
-		p := piecePool.Get().(*piece)
-		*p = piece{id: logic.RequestID(c.lastID), op: op, vol: v, extent: x, from: from, len: n, units: v.Units(n),
-			dropDead: by, fresh: true, ordered: op.Kind.Changes(), number: len(op.pieces)}
-		op.pieces = append(op.pieces, p)
-		c.pieces[p.id] = p
-	}
-	if op.Kind == block.Flush { // to each namespace the volume lies on
+	op.left, op.alive = 1, 1    // until all parts are made, so that none ends it before
+	if op.Kind == block.Flush { // to each namespace the volume lies on; mirrored changes are durable already
 		for i := range v.Extents {
-			if x := &v.Extents[i]; !sameNamespace(v.Extents[:i], x) {
-				add(x, 0, 0)
+			if x := &v.Extents[i]; len(x.Copies) == 1 && !sameNamespace(v.Extents[:i], x) {
+				c.part(now, c.newPiece(op, v, x, 0, 0, 0, by))
 			}
 		}
 	} else {
-		ranges.Split(op.Offset, op.Len, func(at int64) int64 { x := v.find(at); return x.Start + x.Len },
-			func(from, n int64) { add(v.find(from), from-op.Offset, n) })
-	}
-	op.left, op.alive = len(op.pieces), len(op.pieces)
-	for _, p := range op.pieces {
-		if wait, ok := c.mayCross(now, p); !ok {
-			c.answer(now, p, ranges.Refused, wait)
-			continue
-		}
-		if !p.ordered {
-			c.arrive(p, 0)
-			continue
-		}
-		start := op.Offset + p.from
-		if key, ok := v.order.Take(p.id, start, start+p.len, by); ok {
-			c.arrive(p, key)
-		} else {
-			p.held = true
-			c.tally.Held++
-		}
+		part := 0
+		ranges.Split(op.Offset, op.Len, func(at int64) int64 { x := &v.Extents[v.find(at)]; return x.Start + x.Len },
+			func(from, n int64) {
+				i := v.find(from)
+				switch x := &v.Extents[i]; {
+				case v.sets[i] == nil:
+					p := c.newPiece(op, v, x, 0, from-op.Offset, n, by)
+					p.number = part
+					c.part(now, p)
+				case op.Kind.Changes():
+					c.begin(now, op, mirror{v, i}, from, n, by, part)
+				default:
+					c.read(now, op, mirror{v, i}, from, n, by)
+				}
+				part++
+			})
 	}
 	for _, p := range op.pieces {
 		c.forget(now, p) // those that were refused here
 	}
+	c.settled(now, op)
+	c.let(op)
+}
+
+// newPiece makes a piece of an op and counts it as owed an answer.
+func (c *Core) newPiece(op *Op, v *volume, x *settings.Extent, copy int, from, n int64, by logic.Micros) *piece {
+	c.lastID++
+	p := piecePool.Get().(*piece)
+	*p = piece{id: logic.RequestID(c.lastID), op: op, vol: v, extent: x, place: &x.Copies[copy], copy: copy, from: from, len: n, units: v.Units(n),
+		dropDead: by, fresh: true, ordered: op.Kind.Changes()}
+	op.pieces = append(op.pieces, p)
+	op.left++
+	op.alive++
+	c.pieces[p.id] = p
+	return p
+}
+
+// part lets a piece go to its place.
+func (c *Core) part(now logic.Micros, p *piece) {
+	if wait, ok := c.mayCross(now, p); !ok {
+		c.answer(now, p, ranges.Refused, wait)
+		return
+	}
+	c.launch(p)
+}
+
+// launch hands a piece to logic, a change in its turn.
+func (c *Core) launch(p *piece) {
+	if !p.ordered {
+		c.arrive(p, 0)
+		return
+	}
+	start := p.op.Offset + p.from
+	if key, ok := p.vol.orders[p.copy].Take(p.id, start, start+p.len, p.dropDead); ok {
+		c.arrive(p, key)
+	} else {
+		p.held = true
+		c.tally.Held++
+	}
 }
 
-// sameNamespace tells whether an earlier extent lies in the same namespace of the same cell.
+// sameNamespace tells whether an earlier extent without mirrors lies in the same namespace of the same cell.
 func sameNamespace(before []settings.Extent, x *settings.Extent) bool {
 	for i := range before {
-		if before[i].Cell == x.Cell && before[i].Namespace == x.Namespace {
+		if len(before[i].Copies) == 1 && before[i].Cell == x.Cell && before[i].Namespace == x.Namespace {
 			return true
 		}
 	}
@@ -221,7 +282,7 @@
 }
 
 // find is the extent that holds a byte of the volume.
-func (v *volume) find(at int64) *settings.Extent {
+func (v *volume) find(at int64) (index int) {
 	lo, hi := 0, len(v.Extents)
 	for lo < hi {
 		if m := (lo + hi) / 2; v.Extents[m].Start+v.Extents[m].Len <= at {
@@ -230,15 +291,19 @@
 			hi = m
 		}
 	}
-	return &v.Extents[lo]
+	return lo
 }
 
 func (c *Core) arrive(p *piece, key uint64) {
 	p.held = false
-	c.events = append(c.events, logic.Arrival{
-		Request: p.id, Class: p.op.Class, Cell: p.extent.Cell, Key: key, Volume: logic.VolumeID(p.vol.ID),
-		Plan: p.vol.Plan, Attached: p.vol.Attached, Units: p.units, DropDead: p.dropDead,
-	})
+	a := logic.Arrival{
+		Request: p.id, Class: p.op.Class, Cell: p.place.Cell, Key: key, Volume: logic.VolumeID(p.vol.ID),
+		Plan: p.vol.Plan, Attached: p.vol.Attached, Units: p.units, DropDead: p.dropDead, Tried: p.tries,
+	}
+	if p.op.fill != nil { // a queue of its own, so that it yields to the volume's
+		a.Volume, a.Plan = fillVolume|a.Volume, c.cfg.Copies.Plan
+	}
+	c.events = append(c.events, a)
 }
 
 // Gone says that the client of a request has left. What is out runs on as logic decides.
@@ -248,8 +313,12 @@
 	}
 	op.gone = true
 	c.tally.Gone++
+	for _, ch := range op.changes {
+		c.setOf(ch.mirror).Gone(now, &ch.Change)
+		c.carry(now, ch.mirror)
+	}
 	for _, p := range op.pieces {
-		if p.answered {
+		if p.answered || p.change != nil { // a change goes on at the copies, so that they stay the same
 			continue
 		}
 		p.answered = true
@@ -290,7 +359,10 @@
 	c.tally.Out--
 	p.out--
 	switch r.Outcome {
+	case logic.Failed:
+		p.ran = true
 	case logic.TimedOut, logic.Reset, logic.Cancelled:
+		p.ran = true
 		p.rest = now + c.cfg.Logic.Rules.OrderPause
 	case logic.OK:
 		if !p.answered && p.op.Kind == block.Read {
@@ -332,8 +404,11 @@
 		soon(w.at)
 	}
 	for i := range c.vols {
-		soon(c.vols[i].order.Next())
+		for _, o := range c.vols[i].orders {
+			soon(o.Next())
+		}
 	}
+	soon(c.mirrors.next)
 	return at
 }
 
@@ -344,9 +419,12 @@
 		c.out = append(c.out, Action{Kind: Drop, Attempt: &a.Attempt})
 		c.tell(now, a, block.Result{Outcome: logic.TimedOut, Load: logic.NoLoad})
 	}
+	c.tend(now)
 	for i := range c.vols {
-		c.vols[i].order.Expired(now, func(id logic.RequestID) { c.refuse(now, id, ranges.Refused, 0) })
-		c.vols[i].order.Free(now, func(id logic.RequestID, key uint64) { c.arrive(c.pieces[id], key) })
+		for _, o := range c.vols[i].orders {
+			o.Expired(now, func(id logic.RequestID) { c.refuse(now, id, ranges.Refused, 0) })
+			o.Free(now, func(id logic.RequestID, key uint64) { c.arrive(c.pieces[id], key) })
+		}
 	}
 	keep := c.wakes[:0]
 	for _, w := range c.wakes {
@@ -406,18 +484,17 @@
 	}
 	a := c.newAttempt()
 	op := p.op
-	a.p, a.number, a.sent, a.stopAt, a.told = p, p.tries, now, p.dropDead, false
-	a.volume, a.class, a.asked = op.Volume, op.Class, p.asked
-	if p.tries > 0 {
-		a.asked = 0
-	}
+	a.p, a.number, a.sent, a.stopAt, a.told = p, p.tries-p.before, now, p.dropDead, false
+	a.reason = c.reason(p)
+	a.volume, a.class, a.asked, p.asked = op.Volume, op.Class, p.asked, 0
 	if s.StopAt > 0 {
 		a.stopAt = min(a.stopAt, s.StopAt)
 	}
-	a.Node, a.Kind, a.Namespace, a.Len, a.Offset, a.At, a.Key = s.Node, op.Kind, p.extent.Namespace, p.len, 0, 0, 0
-	a.Durable = op.Durable
+	a.Node, a.Kind, a.Namespace, a.Len, a.Offset, a.At, a.Key = s.Node, op.Kind, p.place.Namespace, p.len, 0, 0, 0
+	// A copy that loses what it had not stored yet would be read as if nothing had happened.
+	a.Durable = op.Durable || len(p.extent.Copies) > 1
 	if op.Kind != block.Flush {
-		a.Offset = p.extent.Base + op.Offset + p.from - p.extent.Start
+		a.Offset = p.place.Base + op.Offset + p.from - p.extent.Start
 	}
 	if op.Kind.Changes() {
 		if a.Key = c.nonce | uint64(p.id)&0xffffffff; op.Key != 0 {
@@ -434,13 +511,14 @@
 	c.tally.Attempts++
 	switch {
 	case op.Kind == block.Write:
-		a.Buffer, a.At = op.Buffer.Hold(), p.from
+		a.Buffer, a.At = op.Buffer.Hold(), p.from+op.at
 	case op.Kind == block.Read && p.fresh:
 		a.Buffer, a.At, p.fresh = op.Buffer.Hold(), p.from, false
 	case op.Kind == block.Read:
 		// An earlier attempt may still be read into the op's own buffer, so a further one has its own.
 		if !p.vol.memory.TryAcquire(p.len) {
 			c.tally.NoMemory++
+			c.budget.Back(now, a.asked)
 			c.tell(now, a, block.Result{Outcome: logic.Moot, Load: logic.NoLoad})
 			c.recycle(a)
 			return
@@ -462,16 +540,32 @@
 	return a
 }
 
-// answer takes the final answer of a piece, and with the last one gives that of its op.
+// answer takes the final answer of a piece.
 func (c *Core) answer(now logic.Micros, p *piece, how ranges.Answer, coolDown logic.Micros) {
-	if p.answered {
+	if p.answered || how != ranges.Served && c.elsewhere(now, p) {
 		return
 	}
 	p.answered = true
-	op := p.op
+	switch {
+	case p.change != nil:
+		c.copyEnded(now, p, how == ranges.Served, coolDown)
+	case p.op.fill != nil:
+		c.fillEnded(now, p, how == ranges.Served, coolDown)
+	default:
+		c.join(p.op, how, coolDown)
+		c.settled(now, p.op)
+	}
+}
+
+// join adds the answer of a part to that of its op.
+func (c *Core) join(op *Op, how ranges.Answer, coolDown logic.Micros) {
 	op.answer = ranges.Join(op.answer, how, !op.joined, c.cfg.Logic.Classes[op.Class].Repeat)
 	op.joined = true
 	op.CoolDown = max(op.CoolDown, coolDown)
+}
+
+// settled says that a part of an op has its answer; with the last one the op has.
+func (c *Core) settled(now logic.Micros, op *Op) {
 	if op.left--; op.left > 0 || op.gone {
 		return
 	}
@@ -493,7 +587,7 @@
 		return
 	}
 	delete(c.pieces, p.id)
-	if p.asked > 0 && p.tries == 0 { // it never crossed after all
+	if p.asked > 0 { // it never crossed after all
 		c.budget.Back(now, p.asked)
 	}
 	if p.ordered {
@@ -501,12 +595,20 @@
 		if rest <= now {
 			rest = 0
 		}
-		p.vol.order.Done(p.id, rest)
+		p.vol.orders[p.copy].Done(p.id, rest)
+	}
+	c.let(p.op)
+}
+
+// let lets go of a part of an op; the front's hold keeps that until it has answered.
+func (c *Core) let(op *Op) {
+	if op.alive--; op.alive > 0 {
+		return
 	}
-	if p.op.alive--; p.op.alive == 0 {
+	if op.fill == nil {
 		c.tally.Ops--
-		p.op.Release() // the front's hold keeps it until it has answered
 	}
+	op.Release()
 }
 
 // dueHeap holds attempts by the time they are given up.
--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -211,7 +211,7 @@
 			t.Fatalf("left behind: %+v, %d bytes, %d timers", tally, w.bytes, len(core.due))
 		}
 		for i := range core.vols {
-			if l, h, r := core.vols[i].order.Len(); l+h+r != 0 {
+			if l, h, r := core.vols[i].orders[0].Len(); l+h+r != 0 {
 				t.Fatalf("volume %d keeps %d live, %d held and %d resting changes", i, l, h, r)
 			}
 		}
--- a/internal/engine/crossed.go
+++ b/internal/engine/crossed.go
@@ -17,10 +17,13 @@
 	NoCopyHere               // a first attempt at data that lies elsewhere alone
 	Again                    // a further attempt
 	TooLate                  // an attempt whose end nobody waited for any more
+	Spill                    // a read that a copy at home would have answered too late
+	Copied                   // a change on its way to one of several copies
+	Moved                    // catching up a copy
 )
 
 func (r Reason) String() string {
-	return [...]string{"at home", "no copy here", "repeat", "ended too late"}[r]
+	return [...]string{"at home", "no copy here", "repeat", "ended too late", "spill", "copy", "move"}[r]
 }
 
 // ledgerKey is what is counted apart.
@@ -44,39 +47,65 @@
 // overhead is about what headers add to a request's data; the true sum is settled when an attempt ends.
 const overhead = 160
 
+// foreign tells whether bytes to and from a node of a zone cross. One whose zone is not told counts as foreign; a
+// gateway whose own is not told has no zones.
+func (c *Core) foreign(zone int) bool { return c.cfg.Logic.Zone >= 0 && zone != c.cfg.Logic.Zone }
+
 // mayCross asks the budget for a piece whose data lies in no node of this gateway's zone; wait is when to come back.
 func (c *Core) mayCross(now logic.Micros, p *piece) (wait logic.Micros, ok bool) {
-	if c.cfg.Crossing.Rate <= 0 || c.home[p.extent.Cell] || len(c.nodes) == 0 {
-		return 0, true
+	p.asked, wait, ok = c.ask(now, p.op.Class, p.place.Cell, dataBytes(p.op.Kind, p.len))
+	return wait, ok
+}
+
+// dataBytes is what a request's data comes to on a connection.
+func dataBytes(k block.Kind, n int64) int64 {
+	if k == block.Read || k == block.Write {
+		return n
 	}
-	bytes := float64(overhead)
-	if k := p.op.Kind; k == block.Read || k == block.Write {
-		bytes += float64(p.len)
+	return 0
+}
+
+// ask asks the budget for a request of a class to a cell, with so much data. Asked is 0 where nothing crosses.
+func (c *Core) ask(now logic.Micros, class, cell int, data int64) (asked float64, wait logic.Micros, ok bool) {
+	if c.cfg.Crossing.Rate <= 0 || c.cfg.Logic.Zone < 0 || c.home[cell] || len(c.nodes) == 0 {
+		return 0, 0, true
 	}
-	if ok, wait = c.budget.Ask(now, p.op.Class, bytes); ok {
-		p.asked = bytes
+	asked = float64(data + overhead)
+	if ok, wait = c.budget.Ask(now, class, asked); !ok {
+		return 0, wait, false
 	}
-	return wait, ok
+	return asked, 0, true
+}
+
+// reason says why a piece's next attempt is made, if it crosses.
+func (c *Core) reason(p *piece) Reason {
+	switch {
+	case p.op.fill != nil:
+		return Moved
+	case p.tries > 0:
+		return Again
+	case p.change != nil:
+		return Copied
+	case p.spills:
+		return Spill
+	}
+	return NoCopyHere
 }
 
 // crossed settles an attempt's bytes with budget and ledger. A zone that is not known is a foreign one.
 func (c *Core) crossed(now logic.Micros, a *attempt, r block.Result) {
 	n, known := c.nodes[a.Node]
 	k := ledgerKey{c.cfg.Volumes[a.volume].ID, a.class, n.Zone, AtHome}
-	if !known || n.Zone != c.cfg.Logic.Zone {
+	if !known && c.cfg.Logic.Zone >= 0 || c.foreign(n.Zone) {
 		switch bytes := float64(r.Out+r.In) - a.asked; {
 		case bytes >= 0:
 			c.budget.Spent(now, bytes)
 		default:
 			c.budget.Back(now, -bytes)
 		}
-		switch {
-		case a.told:
+		k.reason = a.reason
+		if a.told {
 			k.reason = TooLate
-		case a.number > 0:
-			k.reason = Again
-		default:
-			k.reason = NoCopyHere
 		}
 	}
 	row := c.ledger[k]
@@ -95,6 +124,7 @@
 		c.nodes[n.ID] = n
 	}
 	clear(c.home)
+	clear(c.ready)
 	var zones []crossing.Zone
 	for _, known := range c.cfg.Nodes {
 		n, listed := c.nodes[known.ID]
@@ -110,10 +140,12 @@
 		zones[i].Nodes++
 		if listed && n.State == logic.Ready {
 			zones[i].Ready++
-			c.home[n.Cell] = c.home[n.Cell] || n.Zone == c.cfg.Logic.Zone
+			c.ready[n.Cell] = true
+			c.home[n.Cell] = c.home[n.Cell] || !c.foreign(n.Zone)
 		}
 	}
 	c.budget.Zones(now, zones)
+	c.mirrors.next = 1 // a copy may be in reach again
 }
 
 // Crossing copies the ledger, in a fixed order, and what is left of the budget.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -20,6 +20,7 @@
 type Engine struct {
 	core  *Core
 	back  block.Back
+	marks Marks
 	log   *zap.Logger
 	epoch time.Time
 
@@ -36,6 +37,14 @@
 	cold bool // idle is to be closed when nothing is held
 }
 
+// Marks keeps what must outlast the process of mirrored extents. Neither method waits; marks of one region are carried
+// out in turn.
+type Marks interface {
+	// Keep brings a mark to stable storage and says through [Engine.Kept] how that went.
+	Keep(m Mark)
+	Forget(m Mark)
+}
+
 type inputKind uint8
 
 const (
@@ -43,6 +52,7 @@
 	gone
 	ended
 	nodes
+	kept
 	tick
 )
 
@@ -54,6 +64,8 @@
 	attempt *block.Attempt
 	result  block.Result
 	nodes   []logic.Node
+	mark    Mark
+	ok      bool
 }
 
 // clockStart is the engine's time at its start: above zero, as logic takes zero for never, and with room for nodes
@@ -75,6 +87,28 @@
 // SetBack tells the engine who carries attempts out.
 func (e *Engine) SetBack(b block.Back) { e.back = b }
 
+// SetMarks tells the engine who keeps the marks of mirrored extents, where there are any.
+func (e *Engine) SetMarks(m Marks) { e.marks = m }
+
+// Kept says how keeping a mark has gone.
+func (e *Engine) Kept(m Mark, ok bool) { e.post(input{kind: kept, mark: m, ok: ok}) }
+
+// RememberMark gives the engine a mark of an earlier process, before anything is brought.
+func (e *Engine) RememberMark(m Mark) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.RememberMark(m)
+}
+
+// Mirrors tells how the copies of mirrored extents are.
+func (e *Engine) Mirrors() []Mirrored {
+	e.mu.Lock()
+	m := e.core.Mirrors()
+	e.mu.Unlock()
+	e.catchUp()
+	return m
+}
+
 // Now is the engine's clock, which goes on while the machine's is set.
 func (e *Engine) Now() logic.Micros { return logic.Micros(time.Since(e.epoch).Microseconds()) }
 
@@ -159,6 +193,7 @@
 func (e *Engine) Drained(ctx context.Context) error {
 	e.mu.Lock()
 	e.cold = true
+	e.core.Still()
 	e.mu.Unlock()
 	e.post(input{kind: tick})
 	select {
@@ -223,6 +258,8 @@
 				e.core.Ended(now, in.attempt, in.result)
 			case nodes:
 				e.core.Nodes(now, in.nodes)
+			case kept:
+				e.core.Kept(now, in.mark, in.ok)
 			case tick:
 				e.armed = 0
 			}
@@ -231,7 +268,9 @@
 		for _, a := range e.core.Step(now) {
 			switch a.Kind {
 			case Start:
-				a.Op.Front.Sending(a.Op, a.Attempt.Node)
+				if a.Op.Front != nil {
+					a.Op.Front.Sending(a.Op, a.Attempt.Node)
+				}
 				e.back.Start(a.Attempt)
 			case Drop:
 				e.back.Drop(a.Attempt)
@@ -239,6 +278,10 @@
 				a.Op.Front.Done(a.Op)
 			case Note:
 				e.log.Info(a.Text)
+			case Keep:
+				e.marks.Keep(a.Mark)
+			case Forget:
+				e.marks.Forget(a.Mark)
 			}
 		}
 		// Only now: an answer may have been on its way to a front that had given its request up.
--- a/internal/engine/op.go
+++ b/internal/engine/op.go
@@ -4,6 +4,7 @@
 	"sync"
 	"sync/atomic"
 
+	"appleplank/copies"
 	"appleplank/internal/block"
 	"appleplank/internal/settings"
 	"appleplank/logic"
@@ -47,6 +48,10 @@
 	gone   bool // the client has left
 	over   bool // answered
 	pieces []*piece
+	// Of mirrored extents.
+	changes []*change
+	fill    *fill // it catches a copy up, and no front waits for it
+	at      int64 // byte of Buffer at which what it writes begins
 }
 
 var opPool = sync.Pool{New: func() any { return new(Op) }}
@@ -74,6 +79,8 @@
 	op.Verdict, op.CoolDown, op.Class, op.Took, op.taken = 0, 0, 0, 0, 0
 	op.left, op.alive, op.answer, op.joined, op.gone, op.over = 0, 0, 0, false, false, false
 	op.pieces = op.pieces[:0]
+	clear(op.changes)
+	op.changes, op.fill, op.at = op.changes[:0], nil, 0
 	opPool.Put(op)
 }
 
@@ -90,7 +97,9 @@
 	op       *Op
 	vol      *volume
 	extent   *settings.Extent
-	from     int64 // byte of the op
+	place    *settings.Place // the copy it goes to
+	copy     int             // and its number
+	from     int64           // byte of the op
 	len      int64
 	units    float64
 	dropDead logic.Micros
@@ -103,8 +112,14 @@
 	rest     logic.Micros
 	result   *block.Buffer // what was read, from at on
 	at       int64
-	number   int     // among its op's pieces
+	number   int     // by which its key is set apart from those of its op's other pieces
 	asked    float64 // bytes of the crossing budget it was let through with; 0: it does not cross
+	change   *change // it brings a change to one of several copies
+	set      mirror  // it reads from one of several copies
+	tried    copies.Mask
+	before   int  // attempts at copies it went to before
+	spills   bool // a copy lies at home
+	ran      bool // an attempt may have run
 }
 
 var piecePool = sync.Pool{New: func() any { return new(piece) }}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,7 +19,8 @@
 	Gateways int
 	Node     standin.NodeConfig // what all nodes are like; names, addresses and namespaces are filled in
 	Volumes  []Volume
-	Zones    []int  // of the nodes; all 0 where empty
+	Zones    []int  // of the nodes; not told where empty
+	At       []int  // zones of the gateways; all 0 where Zones is given and this is not
 	Listed   bool   // a directory names the nodes, instead of the settings
 	Head     string // settings that all gateways share: classes, plans, rules
 	Gateway  string // more arguments of gateway()
@@ -32,9 +33,17 @@
 	Plan    string
 	Cells   []int
 	Extent  int64
-	Through []int  // gateways
-	Table   string // name of a table in Head
-	More    string // further arguments of volume()
+	Mirrors [][]int // for each extent, the cells of its further copies; none where empty
+	Through []int   // gateways
+	Table   string  // name of a table in Head
+	More    string  // further arguments of volume()
+}
+
+func (v *Volume) mirrors(extent int) []int {
+	if len(v.Mirrors) == 0 {
+		return nil
+	}
+	return v.Mirrors[extent]
 }
 
 // Size is the volume's bytes.
@@ -62,8 +71,11 @@
 		spaces[i] = map[uint32]int64{}
 	}
 	for i, v := range shape.Volumes {
-		for _, cell := range v.Cells {
+		for j, cell := range v.Cells {
 			spaces[cell][uint32(i+1)] += v.Extent
+			for _, cell := range v.mirrors(j) {
+				spaces[cell][uint32(i+1)] += v.Extent
+			}
 		}
 	}
 	for i := range shape.Nodes {
@@ -96,7 +108,13 @@
 	var b strings.Builder
 	s := &f.Shape
 	b.WriteString(s.Head)
-	fmt.Fprintf(&b, "gateway(name = \"gw%d\", hosts = %d, number = %d%s)\n", g, s.Gateways, g, s.Gateway)
+	zone := ""
+	if len(s.At) > 0 {
+		zone = fmt.Sprintf(", zone = %d", s.At[g])
+	} else if len(s.Zones) > 0 {
+		zone = ", zone = 0"
+	}
+	fmt.Fprintf(&b, "gateway(name = \"gw%d\", hosts = %d, number = %d%s%s)\n", g, s.Gateways, g, zone, s.Gateway)
 	b.WriteString(strings.ReplaceAll(s.More, "%s", fmt.Sprintf("gw%d", g)))
 	if f.Directory != nil {
 		fmt.Fprintf(&b, "directory(address = %q)\n", f.Directory.Address())
@@ -106,11 +124,11 @@
 		if f.Directory == nil {
 			address = fmt.Sprintf("address = %q, ", n.Address())
 		}
-		zone := 0
+		zone := ""
 		if len(s.Zones) > 0 {
-			zone = s.Zones[i]
+			zone = fmt.Sprintf("zone = %d, ", s.Zones[i])
 		}
-		fmt.Fprintf(&b, "node(id = %d, cell = %d, zone = %d, %snqn = %q)\n", i+1, i, zone, address, n.NQN())
+		fmt.Fprintf(&b, "node(id = %d, cell = %d, %s%snqn = %q)\n", i+1, i, zone, address, n.NQN())
 	}
 	for i, v := range s.Volumes {
 		socket := ""
@@ -122,9 +140,16 @@
 		fmt.Fprintf(&b, "volume(id = %d, name = %q, plan = %q, gateways = %d, %stable = %s,%s extents = [\n", i+1, v.Name, v.Plan,
 			len(v.Through), socket, v.Table, v.More)
 		at := map[int]int64{}
-		for _, cell := range v.Cells {
-			fmt.Fprintf(&b, "    dict(size = B(%d), cell = %d, namespace = %d, base = B(%d)),\n", v.Extent, cell, i+1, at[cell])
-			at[cell] += v.Extent
+		for j, cell := range v.Cells {
+			place := func(cell int) string {
+				at[cell] += v.Extent
+				return fmt.Sprintf("cell = %d, namespace = %d, base = B(%d)", cell, i+1, at[cell]-v.Extent)
+			}
+			fmt.Fprintf(&b, "    dict(size = B(%d), %s, mirrors = [", v.Extent, place(cell))
+			for _, cell := range v.mirrors(j) {
+				fmt.Fprintf(&b, "dict(%s), ", place(cell))
+			}
+			b.WriteString("]),\n")
 		}
 		b.WriteString("])\n")
 	}
@@ -161,16 +186,32 @@
 	return nil
 }
 
-// Where finds the node, namespace and byte there of a byte of a volume.
+// Place is where a copy of a byte of a volume lies.
+type Place struct {
+	Node      int
+	Namespace uint32
+	Offset    int64
+}
+
+// Where finds the first copy of a byte of a volume.
 func (f *Fleet) Where(volume int, at int64) (node int, ns uint32, off int64) {
+	p := f.Copies(volume, at)[0]
+	return p.Node, p.Namespace, p.Offset
+}
+
+// Copies finds all copies of a byte of a volume.
+func (f *Fleet) Copies(volume int, at int64) (out []Place) {
 	v := &f.Shape.Volumes[volume]
-	i := int(at / v.Extent)
-	for _, cell := range v.Cells[:i] {
-		if cell == v.Cells[i] {
-			off += v.Extent
+	base := map[int]int64{}
+	for i, cell := range v.Cells {
+		for _, cell := range append([]int{cell}, v.mirrors(i)...) {
+			if int64(i) == at/v.Extent {
+				out = append(out, Place{cell, uint32(volume + 1), base[cell] + at%v.Extent})
+			}
+			base[cell] += v.Extent
 		}
 	}
-	return v.Cells[i], uint32(volume + 1), off + at%v.Extent
+	return out
 }
 
 // Head is settings for a plain fleet: reads, writes and bulk reads, safe to repeat, and three plans.
--- a/internal/front/ring/server.go
+++ b/internal/front/ring/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -215,7 +216,8 @@
 			continue
 		}
 		for _, n := range s.cfg.Nodes {
-			known = known && (n.Cell != x.Cell || n.Zone == zone)
+			held := slices.ContainsFunc(x.Copies, func(p settings.Place) bool { return p.Cell == n.Cell })
+			known = known && (!held || n.Zone == zone)
 		}
 	}
 	return known
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 
 	store *state.Store // nil: nothing is kept
 	Saves SaveCounts
+	marks *marks // nil: there are no mirrored extents
 
 	front     context.Context // ends all clients' sessions
 	stopFront context.CancelFunc
@@ -57,6 +58,10 @@
 	if err := g.recall(); err != nil {
 		return nil, err
 	}
+	if err := g.recallMarks(); err != nil {
+		g.closeStore()
+		return nil, err
+	}
 	if g.Rings, err = ring.Listen(g.front, cfg, g.Engine, log.Named("ring")); err != nil {
 		g.closeStore()
 		return nil, err
@@ -89,8 +94,10 @@
 		var namespaces []uint32
 		for _, v := range cfg.Volumes {
 			for _, x := range v.Extents {
-				if x.Cell == n.Cell && !slices.Contains(namespaces, x.Namespace) {
-					namespaces = append(namespaces, x.Namespace)
+				for _, p := range x.Copies {
+					if p.Cell == n.Cell && !slices.Contains(namespaces, p.Namespace) {
+						namespaces = append(namespaces, p.Namespace)
+					}
 				}
 			}
 		}
@@ -142,6 +149,10 @@
 		}
 	}
 	g.news(func(*members.Members) {})
+	if g.marks != nil {
+		nodes.Go(func() error { g.marks.store.Run(back); return nil })
+		nodes.Go(func() error { g.marks.watch(back); return nil })
+	}
 	if g.store != nil {
 		nodes.Go(func() error { g.keep(back); return nil })
 		nodes.Go(func() error { return g.listenControl(back) })
--- a/internal/gateway/keep.go
+++ b/internal/gateway/keep.go
@@ -140,6 +140,9 @@
 }
 
 func (g *Gateway) closeStore() {
+	if g.marks != nil {
+		g.marks.store.Close()
+	}
 	if g.store != nil {
 		g.store.Close()
 	}
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -175,9 +175,20 @@
 	thaw = func(goOn bool) {
 		if goOn {
 			g.store.Suspend(false)
+			if g.marks != nil {
+				if err := g.marks.store.Suspend(false); err != nil {
+					g.log.Error("marks of copies cannot be taken back; changes that need one are refused", zap.Error(err))
+				}
+			}
 		}
 		stillHere(goOn)
 	}
+	if g.marks != nil { // from here on nothing that needs a mark is answered here
+		if err := g.marks.store.Suspend(true); err != nil {
+			thaw(true)
+			return err
+		}
+	}
 	quiet := g.Engine.Quiet()
 	b, err := state.Encode(g.snapshot(true, quiet))
 	if err != nil {
@@ -222,6 +233,14 @@
 	return g, nil
 }
 
+// dropMarks gives the marks back to the process that goes on.
+func (g *Gateway) dropMarks() {
+	if g.marks != nil {
+		g.marks.store.Close()
+		g.marks = nil
+	}
+}
+
 // takeOver is the new process's part. Its nodes' goroutines run already.
 func (g *Gateway) takeOver(ctx context.Context) error {
 	c, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: filepath.Join(g.cfg.State.Dir, controlName), Net: "unix"})
@@ -278,12 +297,17 @@
 	}
 	g.store = state.Adopt(g.cfg.State.Dir, lock, fmt.Sprintf("gateway %s, process %d", g.cfg.Name, os.Getpid()))
 	quiet := st.Quiet
+	if err := g.recallMarks(); err != nil {
+		return refuse(err)
+	}
 	if err := ring.Adopt(g.Rings, g.cfg, t.Handed); err != nil {
 		g.Rings.Drop()
+		g.dropMarks()
 		return refuse(err)
 	}
 	if err := g.remember(st, true, quiet, true); err != nil {
 		g.Rings.Drop()
+		g.dropMarks()
 		return refuse(err)
 	}
 	c.SetDeadline(time.Now().Add(adoptTime))
@@ -292,6 +316,7 @@
 	}
 	if err != nil {
 		g.Rings.Drop()
+		g.dropMarks()
 		return err
 	}
 	g.mu.Lock()
--- a/internal/settings/describe.go
+++ b/internal/settings/describe.go
@@ -47,7 +47,13 @@
 		}
 		fmt.Fprintf(t, "  memory\t%d bytes; a unit is %d bytes, a request at least %v units\n", v.Memory, v.UnitBytes, v.UnitLeast)
 		for _, x := range v.Extents {
-			fmt.Fprintf(t, "  extent\t%d+%d at cell %d, namespace %d, from byte %d\n", x.Start, x.Len, x.Cell, x.Namespace, x.Base)
+			for i, p := range x.Copies {
+				what := "extent"
+				if i > 0 {
+					what = "  copy"
+				}
+				fmt.Fprintf(t, "  %s\t%d+%d at cell %d, namespace %d, from byte %d\n", what, x.Start, x.Len, p.Cell, p.Namespace, p.Base)
+			}
 		}
 		for _, r := range v.Rows {
 			size := "of any size"
@@ -71,6 +77,10 @@
 		}
 		fmt.Fprintf(t, "; %.0f%% held back; with %.0f%% of a zone lost %v times as much for %v\n", 100*x.HoldBack, 100*x.Lost, x.Bend, d(x.BendFor))
 	}
+	if x := &c.Copies; x.Region > 0 {
+		fmt.Fprintf(t, "copies: a change is answered when %d hold it; regions of %d bytes, %d caught up at a time as %s on plan %s\n", x.Hold, x.Region,
+			x.Together, c.Classes[x.Class], c.Plans[x.Plan])
+	}
 	if c.State.Dir != "" {
 		fmt.Fprintf(t, "state: kept in %s, written every %v\n", c.State.Dir, d(c.State.Every))
 	} else {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -7,7 +7,9 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 
+	"appleplank/copies"
 	"appleplank/crossing"
 	"appleplank/internal/block"
 	"appleplank/internal/script"
@@ -53,6 +55,7 @@
 	plans     map[string]int
 	volumePos []syntax.Position
 	nodePos   []syntax.Position
+	copiesPos syntax.Position // of copies(); its line is 0 where there is none
 }
 
 func load(files fs.FS, name string) (*Config, error) {
@@ -65,6 +68,7 @@
 	l.Single("bounds", l.bounds)
 	l.Single("state", l.state)
 	l.Single("crossing", l.crossing)
+	l.Single("copies", l.copies)
 	l.Many("class_", l.class)
 	l.Many("plan", l.plan)
 	l.Many("node", l.node)
@@ -92,7 +96,7 @@
 	l.c.Name = f.Text("name", "gateway", true)
 	s.Hosts = int(f.Whole("hosts", 1, 1, 1<<20))
 	s.Number = int(f.Whole("number", 0, 0, 1<<20))
-	s.Zone = int(f.Whole("zone", 0, 0, 1<<20))
+	s.Zone = zone(f)
 	s.MaxAttempts = int(f.Whole("max_attempts", 4, 0, 1<<10))
 	s.SecondCopies = f.Flag("second_copies", true)
 	s.CoolDowns = f.Flag("cool_downs", true)
@@ -105,6 +109,14 @@
 	}
 }
 
+// zone is the number of a zone, -1 where it is not told: zero is a zone like any other.
+func zone(f *script.Form) int {
+	if _, ok := f.Take("zone", false); !ok {
+		return -1
+	}
+	return int(f.Whole("zone", 0, 0, 1<<20))
+}
+
 func (l *loader) rules(f *script.Form) {
 	l.c.Logic.Rules = logic.Rules{
 		AnswerSlack:   logic.Micros(f.Duration("answer_slack", 0)),
@@ -169,6 +181,27 @@
 	}
 }
 
+func (l *loader) copies(f *script.Form) {
+	c := &l.c.Copies
+	l.copiesPos = f.Pos
+	find := func(name string, in map[string]int) int {
+		word := f.Text(name, "", true)
+		i, ok := in[word]
+		if !ok && word != "" {
+			f.Bad(name, "no %s %q stands before this line", strings.TrimSuffix(name, "_"), word)
+		}
+		return i
+	}
+	c.Class, c.Plan = find("class_", l.classes), find("plan", l.plans)
+	c.Hold = int(f.Whole("hold", 1, 1, copies.Most))
+	c.Region = f.Size("region", 1<<20)
+	c.Together = int(f.Whole("together", 2, 1, 64))
+	if c.Region < 64<<10 || c.Region&(c.Region-1) != 0 {
+		f.Bad("region", "%d bytes is no power of two from KiB(64) up", c.Region)
+		c.Region = 1 << 20
+	}
+}
+
 func (l *loader) class(f *script.Form) {
 	name := f.Text("name", "", true)
 	if _, twice := l.classes[name]; twice {
@@ -230,7 +263,7 @@
 func (l *loader) node(f *script.Form) {
 	n := Node{
 		ID:   logic.NodeID(f.Whole("id", script.Must, 1, math.MaxUint32)),
-		Zone: int(f.Whole("zone", 0, 0, 1<<20)), Cell: int(f.Whole("cell", script.Must, 0, 1<<24)),
+		Zone: zone(f), Cell: int(f.Whole("cell", script.Must, 0, 1<<24)),
 		Address: f.Text("address", "", false), NQN: f.Text("nqn", "", true), Rating: f.Number("rating", 1),
 	}
 	f.Name = fmt.Sprintf("node(%d)", n.ID)
@@ -280,13 +313,28 @@
 		v.UnitBytes = 1
 	}
 	f.Each("extents", true, func(e *script.Form) {
-		x := Extent{Start: e.Size("start", v.Size), Len: e.Size("size", script.Must), Base: e.Size("base", 0),
-			Cell: int(e.Whole("cell", script.Must, 0, 1<<24)), Namespace: uint32(e.Whole("namespace", script.Must, 1, math.MaxUint32-2))}
+		x := Extent{Start: e.Size("start", v.Size), Len: e.Size("size", script.Must)}
+		place := func(e *script.Form) {
+			p := Place{Cell: int(e.Whole("cell", script.Must, 0, 1<<24)), Namespace: uint32(e.Whole("namespace", script.Must, 1, math.MaxUint32-2)),
+				Base: e.Size("base", 0)}
+			if bs := int64(v.BlockSize); x.Start%bs != 0 || x.Len%bs != 0 || p.Base%bs != 0 {
+				e.Bad("", "does not begin and end on a block of %d bytes", bs)
+			}
+			for _, o := range x.Copies {
+				if o.Cell == p.Cell {
+					e.Bad("cell", "%d holds a copy already", p.Cell)
+				}
+			}
+			x.Copies = append(x.Copies, p)
+		}
+		place(e)
+		e.Each("mirrors", false, place)
+		x.Place = x.Copies[0]
 		if x.Len == 0 {
 			e.Bad("size", "is zero")
 		}
-		if bs := int64(v.BlockSize); x.Start%bs != 0 || x.Len%bs != 0 || x.Base%bs != 0 {
-			e.Bad("", "does not begin and end on a block of %d bytes", bs)
+		if len(x.Copies) > copies.Most {
+			e.Bad("mirrors", "%d copies, at most %d can be", len(x.Copies), copies.Most)
 		}
 		for i, o := range v.Extents {
 			if x.Start < o.Start+o.Len && o.Start < x.Start+x.Len {
@@ -367,17 +415,18 @@
 				bad(pos, where, "begins at %d and leaves a hole from %d", x.Start, end)
 			}
 			end = x.Start + x.Len
-			if !cells[x.Cell] {
-				bad(pos, where, "no node holds cell %d", x.Cell)
-			}
-			key := [2]int64{int64(x.Cell), int64(x.Namespace)}
-			for _, o := range taken[key] {
-				if x.Base < o.to && o.from < x.Base+x.Len {
-					bad(pos, where, "lies on bytes of namespace %d at cell %d that are volume %q's", x.Namespace,
-						x.Cell, o.volume)
+			for _, p := range x.Copies {
+				if !cells[p.Cell] {
+					bad(pos, where, "no node holds cell %d", p.Cell)
+				}
+				key := [2]int64{int64(p.Cell), int64(p.Namespace)}
+				for _, o := range taken[key] {
+					if p.Base < o.to && o.from < p.Base+x.Len {
+						bad(pos, where, "lies on bytes of namespace %d at cell %d that are volume %q's", p.Namespace, p.Cell, o.volume)
+					}
 				}
+				taken[key] = append(taken[key], place{v.Name, p.Base, p.Base + x.Len})
 			}
-			taken[key] = append(taken[key], place{v.Name, x.Base, x.Base + x.Len})
 		}
 		for k := block.Read; k < block.Kinds; k++ {
 			if _, ok := v.Class(k, math.MaxInt64); !ok && (!v.ReadOnly || k == block.Read || k == block.Flush) {
@@ -410,9 +459,73 @@
 		}
 	}
 	c.Crossing.Hosts = c.Logic.Hosts
+	l.mirrored(bad)
 	if len(l.Problems) == 0 {
 		if _, err := logic.New(c.Logic, 1); err != nil {
 			bad(top, "", "%v", err)
 		}
 	}
 }
+
+// mirrored checks what volumes with mirrored extents need.
+func (l *loader) mirrored(bad func(pos syntax.Position, field, format string, a ...any)) {
+	c := &l.c
+	some := false
+	for i := range c.Volumes {
+		v, pos := &c.Volumes[i], l.volumePos[i]
+		if !v.Mirrored() {
+			continue
+		}
+		some = true
+		at := fmt.Sprintf("volume(%q)", v.Name)
+		// What a copy has missed is known to the gateway that has sent it, and to no other.
+		if v.Attached != 1 {
+			bad(pos, at+".gateways", "%v gateways, but a mirrored volume is served by one", v.Attached)
+		}
+		for j, x := range v.Extents {
+			if n := len(x.Copies); n > 1 && l.copiesPos.Line > 0 {
+				set := copies.Settings{Copies: n, Hold: c.Copies.Hold, Region: c.Copies.Region, Size: x.Len}
+				if err := set.Check(); err != nil {
+					bad(pos, fmt.Sprintf("%s.extents[%d]", at, j), "%v", err)
+				} else if x.Len/c.Copies.Region > mostRegions {
+					bad(pos, fmt.Sprintf("%s.extents[%d]", at, j), "%d regions of %d bytes are over %d; copies(region = …) can be larger",
+						x.Len/c.Copies.Region, c.Copies.Region, mostRegions)
+				}
+			}
+		}
+	}
+	pos := l.copiesPos
+	switch {
+	case pos.Line == 0 && some:
+		bad(l.volumePos[0], "copies", "is missing, and a volume has mirrors")
+		return
+	case pos.Line == 0 || len(c.Classes) == 0 || len(c.Plans) == 0:
+		return
+	}
+	if some && c.State.Dir == "" {
+		bad(pos, "copies()", "needs state(dir = …): what a copy has missed must outlast a restart")
+	}
+	if c.Copies.Region > c.Bounds.MostBytes {
+		bad(pos, "copies.region", "%d bytes is more than one request may have (%d)", c.Copies.Region, c.Bounds.MostBytes)
+	}
+	cl := &c.Logic.Classes[c.Copies.Class]
+	if !cl.InOrder || !cl.Writes || cl.Repeat != logic.Retryable {
+		bad(pos, "copies.class_", "class %q is not in_order = True, writes = True, repeat = \"safe\"", c.Classes[c.Copies.Class])
+	}
+	// Without a late share logic gives up at once on what it takes to be too slow for the aim; with nothing else to learn
+	// from it would do so for ever.
+	if cl.LateShare <= 0 {
+		bad(pos, "copies.class_", "class %q has no late_share, but a copy that is caught up late is caught up", c.Classes[c.Copies.Class])
+	}
+	for i, o := range c.Logic.Classes {
+		if o.Worth < cl.Worth {
+			bad(pos, "copies.class_", "class %q is worth more than class %q, but catching up is worth least", c.Classes[c.Copies.Class], c.Classes[i])
+		}
+	}
+	if p := &c.Logic.Plans[c.Copies.Plan]; p.Reserve > 0 {
+		bad(pos, "copies.plan", "plan %q has a reserve, but catching up takes only what room is left", c.Plans[c.Copies.Plan])
+	}
+}
+
+// mostRegions bounds what is remembered of an extent's copies.
+const mostRegions = 1 << 22
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,7 @@
 	Bounds    Bounds
 	State     State
 	Crossing  crossing.Settings // its rate is 0 where there is no budget
+	Copies    Copies
 }
 
 // Volume is one disk that clients see.
@@ -44,12 +45,38 @@
 	UnitLeast float64
 }
 
-// Extent is a run of a volume's bytes and where it lies.
+// Extent is a run of a volume's bytes and where it lies. The place that is embedded is the first of its copies, the one
+// that leads as long as nothing has failed.
 type Extent struct {
-	Start, Len int64  // in the volume
-	Cell       int    // the node that holds this cell serves it
-	Namespace  uint32 // there
-	Base       int64  // byte of the namespace at which it begins
+	Start, Len int64 // in the volume
+	Place
+	Copies []Place // all of them; more than one: the extent is mirrored
+}
+
+// Place is where a copy of an extent lies.
+type Place struct {
+	Cell      int    // the node that holds this cell serves it
+	Namespace uint32 // there
+	Base      int64  // byte of the namespace at which it begins
+}
+
+// Copies is how mirrored extents are kept and caught up.
+type Copies struct {
+	Class    int   // of reads and writes that catch a copy up
+	Plan     int   // they draw on
+	Hold     int   // copies that must hold a change before it is answered
+	Region   int64 // bytes for which one mark is kept
+	Together int   // regions that are caught up at a time
+}
+
+// Mirrored tells whether an extent of the volume has more than one copy.
+func (v *Volume) Mirrored() bool {
+	for i := range v.Extents {
+		if len(v.Extents[i].Copies) > 1 {
+			return true
+		}
+	}
+	return false
 }
 
 // Row is a line of the table that finds a request's class: the first whose kind fits and whose size is not
@@ -78,7 +105,7 @@
 // Node is a storage node that the gateway may come to know.
 type Node struct {
 	ID      logic.NodeID
-	Zone    int
+	Zone    int // below zero: not told
 	Cell    int
 	Address string // host:port
 	NQN     string
