Reads with another copy are given up early; copies whose nodes take no connections are passed by

On real sockets a dead node made each first write in a region wait for its lead, and reads wait out their aim: 21 and 2 writes in 1.2 s with one client. logic takes Arrival.Once (one attempt, and only within the aim, where the caller has another place) and tells of a cell that is Down; the core sends past it. Tests on sockets: nodes that die and come back without what they had not stored, two copies required, gateways killed at any time, two gateways on one volume (refused by the settings).

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -298,7 +298,7 @@
 	p.held = false
 	a := logic.Arrival{
 		Request: p.id, Class: p.op.Class, Cell: p.place.Cell, Key: key, Volume: logic.VolumeID(p.vol.ID),
-		Plan: p.vol.Plan, Attached: p.vol.Attached, Units: p.units, DropDead: p.dropDead, Tried: p.tries,
+		Plan: p.vol.Plan, Attached: p.vol.Attached, Units: p.units, DropDead: p.dropDead, Tried: p.tries, Once: p.once,
 	}
 	if p.op.fill != nil { // a queue of its own, so that it yields to the volume's
 		a.Volume, a.Plan = fillVolume|a.Volume, c.cfg.Copies.Plan
--- a/internal/engine/mirror.go
+++ b/internal/engine/mirror.go
@@ -45,9 +45,15 @@
 // again is when a client is to come back where too few copies could take its change.
 const again = 300_000
 
+// lookAgain is how long a copy whose nodes take no connections is left alone by catching up.
+const lookAgain = 500_000
+
 // fillVolume sets the queues apart from which copies are caught up.
 const fillVolume = logic.VolumeID(1) << 63
 
+// reach tells whether a cell's node takes work and, as far as is known, connections.
+func (c *Core) reach(cell int) bool { return c.ready[cell] && !c.host.Down(cell) }
+
 func (c *Core) setOf(m mirror) *copies.Set { return m.vol.sets[m.extent] }
 
 // begin takes a change of a mirrored extent. What may not cross to a copy is not sent there, as long as enough others
@@ -60,7 +66,7 @@
 	set, ready := c.setOf(m), copies.Mask(0)
 	need := set.Need(ch.From, ch.To)
 	for i := range x.Copies {
-		if !c.ready[x.Copies[i].Cell] {
+		if !c.reach(x.Copies[i].Cell) {
 			continue
 		}
 		if need.Has(i) {
@@ -180,7 +186,7 @@
 	var seen [copies.Most]copies.Seen
 	for i := range x.Copies {
 		cell := x.Copies[i].Cell
-		seen[i] = copies.Seen{Home: c.home[cell], Ready: c.ready[cell], Takes: c.host.Outlook(cell, p.units)}
+		seen[i] = copies.Seen{Home: c.home[cell], Ready: c.reach(cell), Takes: c.host.Outlook(cell, p.units)}
 	}
 	copy, spills, home := copies.Choose(mask, seen[:len(x.Copies)], c.cfg.Logic.Classes[p.op.Class].Aim)
 	if copy < 0 {
@@ -191,6 +197,10 @@
 		copy, spills, asked, ok = home, false, 0, true
 	}
 	p.asked += asked
+	p.once = false
+	for i := range x.Copies {
+		p.once = p.once || i != copy && mask.Has(i) && seen[i].Ready
+	}
 	p.copy, p.place, p.spills = copy, &x.Copies[copy], spills
 	p.tried |= copies.Of(copy)
 	return wait, ok
@@ -208,7 +218,7 @@
 		return false
 	}
 	before := p.copy
-	if _, ok := c.choose(now, p, mask); !ok || !c.ready[p.place.Cell] {
+	if _, ok := c.choose(now, p, mask); !ok || !c.reach(p.place.Cell) {
 		p.copy, p.place = before, &p.extent.Copies[before]
 		return false
 	}
@@ -270,8 +280,10 @@
 	for _, m := range ms.awake {
 		ready := copies.Mask(0)
 		for i, p := range m.x().Copies {
-			if c.ready[p.Cell] {
+			if c.reach(p.Cell) {
 				ready |= copies.Of(i)
+			} else if c.ready[p.Cell] {
+				soon(now + lookAgain)
 			}
 		}
 		for {
--- a/internal/engine/op.go
+++ b/internal/engine/op.go
@@ -119,6 +119,7 @@
 	tried    copies.Mask
 	before   int  // attempts at copies it went to before
 	spills   bool // a copy lies at home
+	once     bool // it may go to another copy yet
 	ran      bool // an attempt may have run
 }
 
--- /dev/null
+++ b/internal/gateway/mirror_test.go
@@ -0,0 +1,260 @@
+package gateway_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"appleplank/internal/block"
+	"appleplank/internal/fleet"
+	"appleplank/internal/gateway"
+	"appleplank/internal/settings"
+	"appleplank/internal/standin"
+)
+
+// mirrored is a fleet with a copy of everything in two zones, the gateway in zone 0.
+func mirrored(hold int, more string) fleet.Shape {
+	s := one()
+	s.Nodes, s.Zones = 4, []int{0, 0, 1, 1}
+	s.Node = fleet.Fast()
+	s.Head = fleet.Head + `
+class_(name = "copy", aim = s(1), deadline = s(4), worth = 0.1, late_share = 0.5, in_order = True, writes = True)
+plan(name = "catch-up", rate = 100, weight = 0.1)
+`
+	s.Volumes[0].Cells, s.Volumes[0].Mirrors = []int{0, 1, 2}, [][]int{{2}, {3}, {0}}
+	s.Volumes[0].Extent = 4 << 20
+	s.More = fmt.Sprintf("state(dir = \"kept-%%s\", every = ms(50))\ncopies(class_ = \"copy\", plan = \"catch-up\", hold = %d, region = KiB(64), together = 4)\nrules(order_pause = ms(50))\n", hold) + more
+	return s
+}
+
+// whole waits until all copies are whole.
+func whole(t *testing.T, g *gateway.Gateway) {
+	t.Helper()
+	if err := fleet.Eventually(20*time.Second, func() bool {
+		for _, m := range g.Engine.Mirrors() {
+			if m.Stale > 0 {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		t.Fatalf("copies are not whole: %+v", g.Engine.Mirrors())
+	}
+}
+
+// alike checks that all copies of a volume hold the same at the nodes.
+func alike(t *testing.T, f *fleet.Fleet, volume int) {
+	t.Helper()
+	for at := int64(0); at < f.Shape.Volumes[volume].Size(); at += 4096 {
+		var first []byte
+		for i, p := range f.Copies(volume, at) {
+			b := make([]byte, 4096)
+			f.Nodes[p.Node].Read(p.Namespace, p.Offset, b)
+			if i == 0 {
+				first = b
+			} else if !bytes.Equal(b, first) {
+				t.Fatalf("bytes from %d: copy %d differs", at, i)
+			}
+		}
+	}
+}
+
+// writer writes blocks over and over and knows what each must hold at least.
+type writer struct {
+	t              testing.TB
+	cl             *standin.Client
+	served, failed int
+	acked          map[int64]uint64 // by block, the last value served
+	open           map[int64]uint64 // a later one that was not
+	n              uint64
+	rng            *rand.Rand
+}
+
+func (w *writer) write(at int64) bool {
+	w.n++
+	b := make([]byte, 4096)
+	for i := 0; i < len(b); i += 512 {
+		binary.LittleEndian.PutUint64(b[i:], w.n)
+	}
+	r, err := w.cl.Do(0, 1, uint64(at)/512, b, len(b))
+	if err == nil && r.Status == 0 {
+		w.served++
+		w.acked[at] = w.n
+		delete(w.open, at)
+		return true
+	}
+	w.failed++
+	w.open[at] = w.n
+	return false
+}
+
+func (w *writer) read(at int64) bool {
+	r, err := w.cl.Do(0, 0, uint64(at)/512, nil, 4096)
+	if err != nil || r.Status != 0 {
+		return false
+	}
+	got := binary.LittleEndian.Uint64(r.Data)
+	if open, ok := w.open[at]; got < w.acked[at] || got > w.acked[at] && (!ok || got > open) {
+		w.t.Errorf("block at %d holds %d, %d was served", at, got, w.acked[at])
+	}
+	return true
+}
+
+func (w *writer) work(until time.Time, size int64) {
+	for time.Now().Before(until) {
+		at := w.rng.Int64N(size/4096) * 4096
+		if w.rng.IntN(2) == 0 {
+			w.write(at)
+		} else {
+			w.read(at)
+		}
+	}
+}
+
+func newWriter(t testing.TB, cl *standin.Client) *writer {
+	return &writer{t: t, cl: cl, acked: map[int64]uint64{}, open: map[int64]uint64{}, rng: rand.New(rand.NewPCG(1, 2))}
+}
+
+// A node with copies of everything dies and comes back without what it had not stored; meanwhile writes go on, reads
+// never give what was overwritten, and afterwards its copies are caught up. The same for a zone's nodes one by one.
+func TestMirrorNodeDies(t *testing.T) {
+	f, gws, stop := up(t, mirrored(1, ""))
+	defer stop()
+	cl, err := f.Dial(0, "orders", standin.ClientConfig{Queues: 1, Depth: 4, MostData: 64 << 10}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cl.Vanish()
+	w := newWriter(t, cl)
+	size := f.Shape.Volumes[0].Size()
+	w.work(time.Now().Add(300*time.Millisecond), size)
+	for _, node := range []int{2, 0} {
+		before := w.served
+		f.Nodes[node].Crash()
+		w.work(time.Now().Add(1200*time.Millisecond), size)
+		if w.served-before < 50 {
+			t.Errorf("%d writes were served while node %d was dead, %d not", w.served-before, node, w.failed)
+		}
+		if err := f.Nodes[node].Up(false); err != nil {
+			t.Fatal(err)
+		}
+		w.work(time.Now().Add(300*time.Millisecond), size)
+		whole(t, gws[0])
+	}
+	for at := int64(0); at < size; at += 4096 {
+		if !w.read(at) {
+			t.Fatalf("read at %d was not served", at)
+		}
+	}
+	alike(t, f, 0)
+	var moves uint64
+	for _, m := range gws[0].Engine.Mirrors() {
+		moves += m.Tally.Moves
+	}
+	if moves == 0 {
+		t.Error("no lead ever moved")
+	}
+}
+
+// A change that must be held by two copies is refused at once, with advice, and nothing of it done, while only one is
+// whole and in reach.
+func TestMirrorHoldsTwo(t *testing.T) {
+	f, gws, stop := up(t, mirrored(2, ""))
+	defer stop()
+	cl, err := f.Dial(0, "orders", standin.ClientConfig{Queues: 1, Depth: 4, MostData: 64 << 10, Advice: true}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cl.Vanish()
+	w := newWriter(t, cl)
+	if !w.write(0) {
+		t.Fatalf("not served with both copies there: %+v, %+v", gws[0].Engine.Tally(), gws[0].Engine.Mirrors())
+	}
+	alike(t, f, 0)
+	f.Nodes[2].Drain(true)
+	if err := fleet.Eventually(2*time.Second, func() bool {
+		r, err := cl.Do(0, 1, 64, make([]byte, 4096), 4096)
+		return err == nil && r.Verdict == block.Refused && r.Wait > 0
+	}); err != nil {
+		t.Fatal("not refused with one copy in reach")
+	}
+	if !w.read(0) {
+		t.Error("a read was not served")
+	}
+	f.Nodes[2].Drain(false)
+	if err := fleet.Eventually(5*time.Second, func() bool { return w.write(0) }); err != nil {
+		t.Error("not served with both copies back")
+	}
+	whole(t, gws[0])
+	alike(t, f, 0)
+}
+
+// Gateways that are killed at any time, also between the sends to two copies: after each start what was answered stands,
+// reads never go back, and the copies become alike.
+func TestMirrorGatewayKilled(t *testing.T) {
+	f, err := fleet.New(t.TempDir(), mirrored(1, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	w := newWriter(t, nil)
+	const spread = 1 << 20 // of each extent
+	var g *gateway.Gateway
+	var stop func(bool)
+	rng := rand.New(rand.NewPCG(5, 6))
+	for round := range 12 {
+		g, stop = start(t, f.Settings[0])
+		if w.cl, err = f.Dial(0, "orders", standin.ClientConfig{Queues: 1, Depth: 4, MostData: 64 << 10}, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(60 * time.Millisecond) // changes rest after a kill
+		for at := range w.acked {
+			w.read(at)
+		}
+		var wg sync.WaitGroup
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			w.work(time.Now().Add(time.Duration(20+rng.IntN(150))*time.Millisecond), spread)
+		}()
+		time.Sleep(time.Duration(10+rng.IntN(120)) * time.Millisecond)
+		if round%3 == 2 { // a node dies with the gateway
+			f.Nodes[2].Crash()
+		}
+		stop(true)
+		w.cl.Vanish() // what is out is never answered
+		wg.Wait()
+		if round%3 == 2 {
+			if err := f.Nodes[2].Up(false); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if w.served < 100 {
+		t.Errorf("only %d writes were served", w.served)
+	}
+	g, stop = start(t, f.Settings[0])
+	defer stop(false)
+	whole(t, g)
+	alike(t, f, 0)
+}
+
+// A mirrored volume is one gateway's: what a copy missed is known to that one alone.
+func TestMirrorOneGateway(t *testing.T) {
+	s := mirrored(1, "")
+	s.Gateways = 2
+	s.Volumes[0].Through = []int{0, 1}
+	f, err := fleet.New(t.TempDir(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if _, err := settings.Load(f.Settings[0]); err == nil || !strings.Contains(err.Error(), "a mirrored volume is served by one") {
+		t.Errorf("two gateways on a mirrored volume: %v", err)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -171,6 +171,7 @@
 	r := &request{
 		id: e.Request, seq: h.seq, class: &h.set.Classes[e.Class], vol: v, cell: max(e.Cell, -1), key: e.Key,
 		units: e.Units, arrived: h.now, dropDead: e.DropDead, tried: max(e.Tried, 0), charged: e.Tried > 0,
+		once: e.Once,
 	}
 	if !(r.units > 0) || math.IsInf(r.units, 0) {
 		r.units = 1 // can't be right
@@ -304,7 +305,7 @@
 func (h *Host) mayRepeat(r *request) bool {
 	once := r.maybe && (r.class.Repeat == Fragile || r.after >= r.until)
 	more := h.set.MaxAttempts == 0 || r.tries() < h.set.MaxAttempts
-	return more && !once && !r.stream && r.after+answerBy < r.dropDead
+	return more && !once && !r.stream && !r.once && r.after+answerBy < r.dropDead
 }
 
 // giveUp answers a request that will not be served: refused, with advice, where a retry is surely harmless.
@@ -424,7 +425,7 @@
 	if at < never && at <= last && at+Micros(need) <= r.aimAt {
 		return true
 	}
-	return r.class.LateShare > 0 && h.soonest(r, true)+Micros(leastTime*need) <= last
+	return r.class.LateShare > 0 && !r.once && h.soonest(r, true)+Micros(leastTime*need) <= last
 }
 
 // soonest is when r could leave, by all that is known now, for a node where nothing would wait before it;
@@ -505,6 +506,17 @@
 	return at - h.now + Micros(h.unit*units)
 }
 
+// Down tells that no node of a cell takes connections for now, so that what may go elsewhere need not wait
+// for the next try.
+func (h *Host) Down(cell int) bool {
+	for _, n := range h.cells[cell] {
+		if n.State == Ready && (n.down == 0 || h.now >= n.restTo) {
+			return false
+		}
+	}
+	return true
+}
+
 // ---- cycle ----
 
 // credit adds what the queue's reservation has earned since the last visit. It is called only for a
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -750,6 +750,31 @@
 	}
 }
 
+// A request whose caller has another place is given up where it is when one attempt fails or its aim is out of reach;
+// and a cell is down while its node's rest after a failed connection lasts.
+func TestOnceAndDown(t *testing.T) {
+	b := newBench(t, plain(), 2)
+	once := func(a *Arrival) { a.Once = true }
+	b.step(b.ask(0, 0, once))
+	if b.h.Down(0) || !b.h.Down(7) {
+		t.Error("down before anything failed, or a cell that nobody holds is not")
+	}
+	if got := b.after(ms, end(1, 0, 1, ConnectFailed)); !has(got, Deny{Request: 1}) {
+		t.Errorf("%v after its one attempt", got)
+	}
+	if !b.h.Down(0) || b.h.Down(1) {
+		t.Error("the node that took no connection is not down, or the other is")
+	}
+	b.after(downPause, TimerFired{})
+	if b.h.Down(0) {
+		t.Error("down after the pause, when one request is to try it")
+	}
+	b.h.hear(b.h.order[1], 600*1e3)
+	if got := b.step(b.ask(0, 0, cell(1), once), b.ask(0, 0, cell(1))); !has(got, Deny{Request: 2}) || has(got, Deny{Request: 3}) {
+		t.Errorf("%v where the aim is out of reach, want the one that may go elsewhere given up", got)
+	}
+}
+
 // Outlook is never without a node, and grows with what waits, with a rest, with a full window.
 func TestOutlook(t *testing.T) {
 	b := newBench(t, plain(), 2)
--- a/logic/state.go
+++ b/logic/state.go
@@ -61,6 +61,7 @@
 	dropDead Micros
 	attempts []*attempt
 	tried    int // attempts before it came here
+	once     bool
 	out      int
 	queued   bool // in a lane of its volume
 	waiting  bool // held: owed an answer, no attempt out
