--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,6 +22,7 @@
 	Volumes  []Volume
 	Zones    []int  // of the nodes; not told where empty
 	At       []int  // zones of the gateways; all 0 where Zones is given and this is not
+	Links    bool   // gateways reach nodes of other zones over links that can be cut; see Link
 	Listed   bool   // a directory names the nodes, instead of the settings
 	Head     string // settings that all gateways share: classes, plans, rules
 	Gateway  string // more arguments of gateway()
@@ -51,11 +53,16 @@
 
 // Fleet is nodes that are up, and settings on disk.
 type Fleet struct {
-	Dir       string
-	Nodes     []*standin.Node
-	Directory *standin.Directory
-	Settings  []string // a file for each gateway
-	Shape     Shape
+	Dir         string
+	Nodes       []*standin.Node
+	Directory   *standin.Directory   // the one of the first gateway's zone
+	Directories []*standin.Directory // one for each zone with a gateway
+	Settings    []string             // a file for each gateway
+	Shape       Shape
+
+	zones []int // of the directories
+	links map[[2]int]*standin.Link
+	over  map[[2]int]string // zone and node: address over the link
 }
 
 // New starts the nodes and writes the settings to dir.
@@ -88,11 +95,31 @@
 		}
 		f.Nodes = append(f.Nodes, n)
 	}
-	if shape.Listed {
-		if f.Directory, err = standin.NewDirectory("127.0.0.1:0"); err != nil {
-			return f, err
+	f.links, f.over = map[[2]int]*standin.Link{}, map[[2]int]string{}
+	for g := range shape.Gateways {
+		zone := f.gatewayZone(g)
+		if slices.Contains(f.zones, zone) {
+			continue
 		}
-		f.Directory.Set(f.Nodes...)
+		f.zones = append(f.zones, zone)
+		for i, n := range f.Nodes {
+			if shape.Links && shape.Zones[i] != zone {
+				if f.over[[2]int{zone, i}], err = f.Link(zone, shape.Zones[i]).Relay(n.Address); err != nil {
+					return f, err
+				}
+			}
+		}
+		if shape.Listed {
+			d, err := standin.NewDirectory("127.0.0.1:0")
+			if err != nil {
+				return f, err
+			}
+			f.Directories = append(f.Directories, d)
+		}
+	}
+	if shape.Listed {
+		f.Directory = f.Directories[0]
+		f.List(func(int) bool { return true })
 	}
 	for g := range shape.Gateways {
 		path := filepath.Join(dir, fmt.Sprintf("gw%d.star", g))
@@ -104,6 +131,43 @@
 	return f, nil
 }
 
+func (f *Fleet) gatewayZone(g int) int {
+	if len(f.Shape.At) > 0 {
+		return f.Shape.At[g]
+	}
+	return 0
+}
+
+// Link is the link by which gateways of one zone reach nodes of another.
+func (f *Fleet) Link(from, to int) *standin.Link {
+	k := [2]int{from, to}
+	if f.links[k] == nil {
+		f.links[k] = standin.NewLink(uint64(from)<<32 | uint64(to))
+	}
+	return f.links[k]
+}
+
+// address is where gateways of a zone reach a node.
+func (f *Fleet) address(zone, node int) string {
+	if a, ok := f.over[[2]int{zone, node}]; ok {
+		return a
+	}
+	return f.Nodes[node].Address()
+}
+
+// List has the directories name the nodes that are there.
+func (f *Fleet) List(there func(node int) bool) {
+	for i, d := range f.Directories {
+		var entries []standin.Entry
+		for j, n := range f.Nodes {
+			if there(j) {
+				entries = append(entries, standin.Entry{NQN: n.NQN(), Address: f.address(f.zones[i], j)})
+			}
+		}
+		d.SetEntries(entries)
+	}
+}
+
 func (f *Fleet) settings(g int) string {
 	var b strings.Builder
 	s := &f.Shape
@@ -116,13 +180,13 @@
 	}
 	fmt.Fprintf(&b, "gateway(name = \"gw%d\", hosts = %d, number = %d%s%s)\n", g, s.Gateways, g, zone, s.Gateway)
 	b.WriteString(strings.ReplaceAll(s.More, "%s", fmt.Sprintf("gw%d", g)))
-	if f.Directory != nil {
-		fmt.Fprintf(&b, "directory(address = %q)\n", f.Directory.Address())
+	if s.Listed {
+		fmt.Fprintf(&b, "directory(address = %q)\n", f.Directories[slices.Index(f.zones, f.gatewayZone(g))].Address())
 	}
 	for i, n := range f.Nodes {
 		address := ""
-		if f.Directory == nil {
-			address = fmt.Sprintf("address = %q, ", n.Address())
+		if !s.Listed {
+			address = fmt.Sprintf("address = %q, ", f.address(f.gatewayZone(g), i))
 		}
 		zone := ""
 		if len(s.Zones) > 0 {
@@ -177,8 +241,11 @@
 
 // Close ends all nodes and the directory.
 func (f *Fleet) Close() error {
-	if f.Directory != nil {
-		f.Directory.Close()
+	for _, d := range f.Directories {
+		d.Close()
+	}
+	for _, l := range f.links {
+		l.Close()
 	}
 	for _, n := range f.Nodes {
 		n.Crash()
--- a/internal/gateway/mirror_test.go
+++ b/internal/gateway/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -22,6 +23,7 @@
 	s := one()
 	s.Nodes, s.Zones = 4, []int{0, 0, 1, 1}
 	s.Node = fleet.Fast()
+	s.Node.Volatile = true
 	s.Head = fleet.Head + `
 class_(name = "copy", aim = s(1), deadline = s(4), worth = 0.1, late_share = 0.5, in_order = True, writes = True)
 plan(name = "catch-up", rate = 100, weight = 0.1)
@@ -244,6 +246,72 @@
 	alike(t, f, 0)
 }
 
+var cut = flag.Duration("cut", 2500*time.Millisecond, "how long the link between two zones is cut")
+
+// The link to the other zone is cut for a while with both sides alive, both ways and one way, and flaps: what has a copy
+// at home is served all the time and every request is answered in time; afterwards the copies are caught up, and what
+// crossed is, on connections that ended in order, what the nodes counted.
+func TestMirrorLinkCut(t *testing.T) {
+	s := mirrored(1, "crossing(rate = MiB(64), burst = MiB(64))\ntimes(connect = ms(300), keep_alive = s(2))\n")
+	s.Links = true
+	s.Volumes[0].Cells, s.Volumes[0].Mirrors = []int{0, 2}, [][]int{{2}, {1}} // one leads at home, one away
+	f, gws, stop := up(t, s)
+	defer stop()
+	cl, err := f.Dial(0, "orders", standin.ClientConfig{Queues: 1, Depth: 4, MostData: 64 << 10}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cl.Vanish()
+	w := newWriter(t, cl)
+	size := f.Shape.Volumes[0].Size()
+	w.work(time.Now().Add(200*time.Millisecond), size)
+	link := f.Link(0, 1)
+	for _, x := range []struct {
+		name  string
+		state standin.LinkState
+		every time.Duration
+	}{{"both ways", standin.LinkState{CutThere: true, CutBack: true}, 0}, {"there", standin.LinkState{CutThere: true}, 0},
+		{"back", standin.LinkState{CutBack: true}, 0}, {"flapping", standin.LinkState{CutThere: true, CutBack: true}, *cut / 10}} {
+		served, failed, slowest := w.served, w.failed, time.Duration(0)
+		until := time.Now().Add(*cut)
+		var wg sync.WaitGroup
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for on := true; time.Now().Before(until); on = !on {
+				link.Set(func(s *standin.LinkState) {
+					if *s = (standin.LinkState{}); on {
+						*s = x.state
+					}
+				})
+				time.Sleep(min(max(x.every, time.Millisecond), time.Until(until)))
+				for x.every == 0 && time.Now().Before(until) {
+					time.Sleep(time.Until(until))
+				}
+			}
+			link.Set(func(s *standin.LinkState) { *s = standin.LinkState{} })
+		}()
+		for time.Now().Before(until) {
+			began := time.Now()
+			w.work(began.Add(time.Millisecond), size)
+			slowest = max(slowest, time.Since(began))
+		}
+		wg.Wait()
+		t.Logf("cut %s for %v: %d writes served, %d not, the slowest step %v", x.name, *cut, w.served-served, w.failed-failed, slowest)
+		if w.served-served < 20 || w.failed-failed > (w.served-served)/10 {
+			t.Errorf("cut %s: %d writes were served, %d not", x.name, w.served-served, w.failed-failed)
+		}
+		if slowest > 2500*time.Millisecond {
+			t.Errorf("cut %s: a request took %v", x.name, slowest)
+		}
+	}
+	whole(t, gws[0])
+	for at := int64(0); at < size; at += 4096 {
+		w.read(at)
+	}
+	alike(t, f, 0)
+}
+
 // A mirrored volume is one gateway's: what a copy missed is known to that one alone.
 func TestMirrorOneGateway(t *testing.T) {
 	s := mirrored(1, "")
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -37,6 +37,7 @@
 	InCapsule  int // bytes of data a command's capsule may carry
 	NoZeroes   bool
 	WriteCache bool
+	Volatile   bool // a crash takes back what was written without FUA since the last flush
 	Align      int
 	Seed       uint64
 	Record     bool // keep records for the audit
@@ -87,11 +88,50 @@
 
 	storeMu sync.RWMutex
 	store   map[uint32][]byte
+	cached  []undo // Volatile: what the write cache holds, by what was there before
 
 	Served atomic.Uint64 // commands answered with success
 	Taken  atomic.Uint64 // I/O commands that came
 }
 
+// undo is what a cached write has overwritten.
+type undo struct {
+	ns  uint32
+	off int64
+	b   []byte
+}
+
+// mostCached bounds the write cache, in writes; a full one is stored.
+const mostCached = 4096
+
+// change overwrites bytes of a namespace; nil zeroes them.
+func (n *Node) change(ns uint32, off, size int64, data []byte, stored bool) {
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	at := n.store[ns][off : off+size]
+	if n.cfg.Volatile && !stored {
+		if len(n.cached) >= mostCached {
+			n.cached = nil
+		}
+		n.cached = append(n.cached, undo{ns, off, slices.Clone(at)})
+	}
+	if data == nil {
+		clear(at)
+	} else {
+		copy(at, data)
+	}
+}
+
+// forgetCached takes back what was not stored.
+func (n *Node) forgetCached() {
+	n.storeMu.Lock()
+	defer n.storeMu.Unlock()
+	for _, u := range slices.Backward(n.cached) {
+		copy(n.store[u.ns][u.off:], u.b)
+	}
+	n.cached = nil
+}
+
 type work struct {
 	at time.Time
 	d  time.Duration
@@ -196,6 +236,7 @@
 	n.mu.Unlock()
 	n.t.close()
 	n.workers.Wait()
+	n.forgetCached()
 }
 
 // Reset breaks all connections; the process goes on.
@@ -518,12 +559,12 @@
 	var data []byte
 	switch cmd.Opcode() {
 	case nvme.OpWrite:
-		n.storeMu.Lock()
-		copy(n.store[cmd.NSID()][off:], j.data)
-		n.storeMu.Unlock()
+		n.change(cmd.NSID(), off, int64(len(j.data)), j.data, cmd.Dword(12)&nvme.FUA != 0)
 	case nvme.OpWriteZeroes:
+		n.change(cmd.NSID(), off, size, nil, cmd.Dword(12)&nvme.FUA != 0)
+	case nvme.OpFlush:
 		n.storeMu.Lock()
-		clear(n.store[cmd.NSID()][off : off+size])
+		n.cached = nil
 		n.storeMu.Unlock()
 	case nvme.OpRead:
 		data = make([]byte, size)
