--- a/internal/engine/crossed.go
+++ b/internal/engine/crossed.go
@@ -20,10 +20,11 @@
 	Spill                    // a read that a copy at home would have answered too late
 	Copied                   // a change on its way to one of several copies
 	Moved                    // catching up a copy
+	Withheld                 // not sent: what the budget has refused, by what it would have cost
 )
 
 func (r Reason) String() string {
-	return [...]string{"at home", "no copy here", "repeat", "ended too late", "spill", "copy", "move"}[r]
+	return [...]string{"at home", "no copy here", "repeat", "ended too late", "spill", "copy", "move", "withheld"}[r]
 }
 
 // ledgerKey is what is counted apart.
@@ -54,9 +55,42 @@
 // mayCross asks the budget for a piece whose data lies in no node of this gateway's zone; wait is when to come back.
 func (c *Core) mayCross(now logic.Micros, p *piece) (wait logic.Micros, ok bool) {
 	p.asked, wait, ok = c.ask(now, p.op.Class, p.place.Cell, dataBytes(p.op.Kind, p.len))
+	if !ok {
+		c.withheld(p.vol, p.op, p.place.Cell, p.len)
+	}
 	return wait, ok
 }
 
+// withheld counts what was not sent for the budget.
+func (c *Core) withheld(v *volume, op *Op, cell int, n int64) {
+	row := c.row(ledgerKey{v.ID, op.Class, c.zoneOf(cell), Withheld})
+	row.Attempts++
+	row.Out += dataBytes(op.Kind, n) + overhead
+}
+
+// zoneOf is the zone of a cell's nodes, by the last of them.
+func (c *Core) zoneOf(cell int) int {
+	zone := -1
+	for _, n := range c.cfg.Nodes {
+		if n.Cell == cell {
+			if zone = n.Zone; c.nodes[n.ID].ID != 0 {
+				zone = c.nodes[n.ID].Zone
+			}
+		}
+	}
+	return zone
+}
+
+// row is a row of the ledger.
+func (c *Core) row(k ledgerKey) *Crossed {
+	row := c.ledger[k]
+	if row == nil {
+		row = &Crossed{Volume: k.volume, Class: k.class, Zone: k.zone, Reason: k.reason}
+		c.ledger[k] = row
+	}
+	return row
+}
+
 // dataBytes is what a request's data comes to on a connection.
 func dataBytes(k block.Kind, n int64) int64 {
 	if k == block.Read || k == block.Write {
@@ -108,11 +142,7 @@
 			k.reason = TooLate
 		}
 	}
-	row := c.ledger[k]
-	if row == nil {
-		row = &Crossed{Volume: k.volume, Class: k.class, Zone: k.zone, Reason: k.reason}
-		c.ledger[k] = row
-	}
+	row := c.row(k)
 	row.Attempts++
 	row.Out += r.Out
 	row.In += r.In
--- a/internal/engine/mirror.go
+++ b/internal/engine/mirror.go
@@ -72,6 +72,7 @@
 		if need.Has(i) {
 			asked, wait, ok := c.ask(now, op.Class, x.Copies[i].Cell, dataBytes(op.Kind, n))
 			if !ok {
+				c.withheld(m.vol, op, x.Copies[i].Cell, n)
 				ch.wait = max(ch.wait, wait)
 				continue
 			}
@@ -196,6 +197,9 @@
 	if !ok && spills {
 		copy, spills, asked, ok = home, false, 0, true
 	}
+	if !ok {
+		c.withheld(p.vol, p.op, x.Copies[copy].Cell, p.len)
+	}
 	p.asked += asked
 	p.once = false
 	for i := range x.Copies {
