--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"appleplank/crossing"
 	"appleplank/internal/block"
 	"appleplank/internal/engine"
 	"appleplank/internal/front/ring"
@@ -37,6 +38,7 @@
 
 	mu      sync.Mutex
 	members *members.Members
+	history crossing.History // of what was counted
 
 	store *state.Store // nil: nothing is kept
 	Saves SaveCounts
--- a/internal/gateway/keep.go
+++ b/internal/gateway/keep.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"appleplank/crossing"
 	"appleplank/internal/engine"
 	"appleplank/internal/state"
 	"appleplank/logic"
@@ -68,6 +69,7 @@
 	if !recall.Limits(clean, marked, how) {
 		budget = nil // what was spent since is not known
 	}
+	g.history.Remember(st.History, st.Crossed)
 	if err := g.Engine.RememberCrossing(rows, budget, age); err != nil {
 		log.Warn("crossing", zap.Error(err))
 	}
@@ -131,10 +133,23 @@
 	rows, budget := g.Engine.Crossing()
 	st := &state.State{Gateway: g.cfg.Name, Written: state.Now(), Clean: clean, Quiet: quiet, Logic: m, Budget: &budget}
 	for _, r := range rows {
-		st.Crossed = append(st.Crossed, state.Crossed{Volume: r.Volume, Class: r.Class, Zone: r.Zone, Reason: uint8(r.Reason), Attempts: r.Attempts, Out: r.Out, In: r.In})
+		st.Crossed = append(st.Crossed, crossing.Count{Volume: r.Volume, Class: r.Class, Zone: r.Zone, Reason: uint8(r.Reason), Attempts: r.Attempts, Out: r.Out, In: r.In})
+	}
+	if g.marks != nil {
+		for _, m := range g.Engine.Mirrors() {
+			x := &g.cfg.Volumes[m.Volume].Extents[m.Extent]
+			c := state.Copies{Volume: g.cfg.Volumes[m.Volume].ID, From: x.Start, Len: x.Len, Whole: m.Whole, Stale: m.Stale, Moves: m.Tally.Moves,
+				Caught: m.Tally.Caught, CaughtBytes: m.Tally.CaughtBytes, Refused: m.Tally.Refused}
+			for _, p := range x.Copies {
+				c.Cells = append(c.Cells, p.Cell)
+			}
+			st.Copies = append(st.Copies, c)
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.history.Note(time.Now().Unix(), st.Crossed)
+	st.History = g.history.Copy()
 	st.Members = g.members.Memory(now)
 	return st
 }
--- a/internal/report/crossing.go
+++ b/internal/report/crossing.go
@@ -7,8 +7,11 @@
 	"io"
 	"slices"
 	"strconv"
+	"strings"
 	"text/tabwriter"
+	"time"
 
+	"appleplank/crossing"
 	"appleplank/internal/engine"
 	"appleplank/internal/settings"
 	"appleplank/internal/state"
@@ -21,15 +24,17 @@
 
 // Row is bytes that crossed connections to nodes, by what they were for, named as the settings name it.
 type Row struct {
+	From                time.Time // the time in which they did; zero: all of it
 	Class, Plan, Volume string
-	From, To            int // zones of gateway and node
+	Zone, To            int // of gateway and node; below zero: not told
 	Reason              string
+	Home, Withheld      bool // did not cross; was not sent for the budget, which then says what it would have cost
 	Attempts            uint64
 	Out, In             int64
 }
 
-// Crossing reads the ledger that a gateway of these settings keeps in its state folder.
-func Crossing(cfg *settings.Config) ([]Row, error) {
+// Crossing reads the ledger that a gateway of these settings keeps in its state folder, in all or over time.
+func Crossing(cfg *settings.Config, overTime bool) ([]Row, error) {
 	if cfg.State.Dir == "" {
 		return nil, fmt.Errorf("report: the settings keep no state, so nothing is counted over restarts")
 	}
@@ -38,27 +43,46 @@
 		return nil, err
 	}
 	var rows []Row
-	for _, c := range st.Crossed {
-		r := Row{Class: fmt.Sprint("class ", c.Class), Plan: "?", Volume: fmt.Sprint("volume ", c.Volume), From: cfg.Logic.Zone, To: c.Zone,
-			Reason: engine.Reason(c.Reason).String(), Attempts: c.Attempts, Out: c.Out, In: c.In}
-		if c.Class >= 0 && c.Class < len(cfg.Classes) {
-			r.Class = cfg.Classes[c.Class]
-		}
-		for _, v := range cfg.Volumes {
-			if v.ID == c.Volume {
-				r.Volume, r.Plan = v.Name, cfg.Plans[v.Plan]
+	add := func(from time.Time, counts []crossing.Count) {
+		for _, c := range counts {
+			why := engine.Reason(c.Reason)
+			r := Row{From: from, Class: fmt.Sprint("class ", c.Class), Plan: "?", Volume: fmt.Sprint("volume ", c.Volume), Zone: cfg.Logic.Zone, To: c.Zone,
+				Reason: why.String(), Home: why == engine.AtHome, Withheld: why == engine.Withheld, Attempts: c.Attempts, Out: c.Out, In: c.In}
+			if c.Class >= 0 && c.Class < len(cfg.Classes) {
+				r.Class = cfg.Classes[c.Class]
+			}
+			for _, v := range cfg.Volumes {
+				if v.ID == c.Volume {
+					r.Volume, r.Plan = v.Name, cfg.Plans[v.Plan]
+				}
 			}
+			rows = append(rows, r)
 		}
-		rows = append(rows, r)
+	}
+	if !overTime {
+		add(time.Time{}, st.Crossed)
+		return rows, nil
+	}
+	for _, s := range st.History {
+		add(time.Unix(s.From, 0).UTC(), s.Counts)
 	}
 	return rows, nil
 }
 
 // fields are a row's columns, in order.
-var fields = []string{"class", "plan", "volume", "from zone", "to zone", "reason", "attempts", "bytes out", "bytes in"}
+var fields = []string{"time", "class", "plan", "volume", "from zone", "to zone", "reason", "attempts", "bytes out", "bytes in"}
 
 func (r *Row) values() []string {
-	return []string{r.Class, r.Plan, r.Volume, strconv.Itoa(r.From), strconv.Itoa(r.To), r.Reason, strconv.FormatUint(r.Attempts, 10),
+	at, zone := "", func(z int) string {
+		if z < 0 {
+			return "?"
+		}
+		return strconv.Itoa(z)
+	}
+	if !r.From.IsZero() {
+		at = r.From.Format("2006-01-02 15:04")
+	}
+	return []string{at, r.Class, r.Plan, r.Volume, zone(r.Zone), zone(r.To), r.Reason, strconv.FormatUint(r.Attempts, 10),
 		strconv.FormatInt(r.Out, 10), strconv.FormatInt(r.In, 10)}
 }
 
@@ -72,19 +96,22 @@
 		fmt.Fprintln(t)
 	}
 	line(fields)
-	var home, away int64
+	var home, away, held int64
 	for i := range rows {
 		line(rows[i].values())
-		if n := rows[i].Out + rows[i].In; rows[i].From == rows[i].To {
+		switch n := rows[i].Out + rows[i].In; {
+		case rows[i].Withheld:
+			held += n
+		case rows[i].Home:
 			home += n
-		} else {
+		default:
 			away += n
 		}
 	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(w, "%d bytes crossed between zones, %d stayed at home\n", away, home)
+	_, err := fmt.Fprintf(w, "%d bytes crossed between zones, %d stayed at home; the budget withheld requests that would have cost %d\n", away, home, held)
 	return err
 }
 
@@ -104,6 +131,9 @@
 	var classes []string
 	var zones []int
 	for _, r := range rows {
+		if r.Withheld {
+			continue
+		}
 		if !slices.Contains(classes, r.Class) {
 			classes = append(classes, r.Class)
 		}
@@ -117,14 +147,14 @@
 	slices.Sort(classes)
 	slices.Sort(zones)
 	p := plot.New()
-	p.Title.Text = fmt.Sprintf("Bytes to and from nodes, gateway in zone %d", rows[0].From)
+	p.Title.Text = fmt.Sprintf("Bytes to and from nodes, gateway in zone %d", rows[0].Zone)
 	p.Y.Label.Text = "MiB"
 	p.Legend.Top = true
 	const width = 18
 	for i, z := range zones {
 		values := make(plotter.Values, len(classes))
 		for _, r := range rows {
-			if r.To == z {
+			if r.To == z && !r.Withheld {
 				values[slices.Index(classes, r.Class)] += float64(r.Out+r.In) / (1 << 20)
 			}
 		}
@@ -141,3 +171,56 @@
 	p.NominalX(classes...)
 	return p.Save(vg.Points(max(320, float64(60*len(classes)*len(zones)))), vg.Points(300), path)
 }
+
+// ChartOverTime draws what crossed, by class, as a line each, and what was withheld dashed.
+func ChartOverTime(path string, rows []Row) error {
+	type line struct {
+		class    string
+		withheld bool
+	}
+	sums, times := map[line]map[int64]float64{}, []int64{}
+	var lines []line
+	for _, r := range rows {
+		if r.Home || r.From.IsZero() {
+			continue
+		}
+		l, at := line{r.Class, r.Withheld}, r.From.Unix()
+		if sums[l] == nil {
+			sums[l] = map[int64]float64{}
+			lines = append(lines, l)
+		}
+		sums[l][at] += float64(r.Out+r.In) / (1 << 20)
+		if !slices.Contains(times, at) {
+			times = append(times, at)
+		}
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("report: nothing has crossed yet")
+	}
+	slices.Sort(times)
+	slices.SortFunc(lines, func(a, b line) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("Bytes between zones in %d minutes, gateway in zone %d", crossing.SlotLength/60, rows[0].Zone)
+	p.Y.Label.Text = "MiB"
+	p.X.Tick.Marker = plot.TimeTicks{Format: "02 15:04"}
+	p.Legend.Top = true
+	for i, l := range lines {
+		var at plotter.XYs
+		for _, t := range times { // a time without is a time with nothing
+			at = append(at, plotter.XY{X: float64(t), Y: sums[l][t]})
+		}
+		x, points, err := plotter.NewLinePoints(at)
+		if err != nil {
+			return err
+		}
+		name := l.class
+		x.Color, points.Color = plotutil.Color(i), plotutil.Color(i)
+		if l.withheld {
+			name += ", withheld"
+			x.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+		}
+		p.Add(x, points)
+		p.Legend.Add(name, x)
+	}
+	return p.Save(vg.Points(640), vg.Points(300), path)
+}
--- a/internal/report/crossing_test.go
+++ b/internal/report/crossing_test.go
@@ -31,7 +31,7 @@
 	if cfg.Crossing.Rate != 1<<20 || !cfg.Crossing.Classes[0].Bends {
 		t.Errorf("%+v", cfg.Crossing)
 	}
-	if _, err := Crossing(cfg); err == nil {
+	if _, err := Crossing(cfg, false); err == nil {
 		t.Error("a report of nothing")
 	}
 	s, err := state.Open(cfg.State.Dir, "test")
@@ -39,19 +39,21 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	if err := s.Save(&state.State{Gateway: "gw0", Budget: &crossing.Memory{}, Crossed: []state.Crossed{
-		{Volume: 7, Class: 0, Zone: 0, Reason: 1, Attempts: 3, Out: 1000, In: 20}, {Volume: 8, Class: 5, Zone: 1, Attempts: 1, Out: 1, In: 2}}}); err != nil {
+	if err := s.Save(&state.State{Gateway: "gw0", Budget: &crossing.Memory{}, Crossed: []crossing.Count{
+		{Volume: 7, Class: 0, Zone: 0, Reason: 1, Attempts: 3, Out: 1000, In: 20}, {Volume: 8, Class: 5, Zone: 1, Attempts: 1, Out: 1, In: 2},
+		{Volume: 7, Class: 0, Zone: 0, Reason: 7, Attempts: 2, Out: 500}}, History: []crossing.Slot{{From: 1_800_000_000 / 600 * 600, Counts: []crossing.Count{{Volume: 7, Zone: 0, Reason: 1, Attempts: 3, Out: 1000, In: 20}}},
+		{From: 1_800_000_600 / 600 * 600, Counts: []crossing.Count{{Volume: 7, Zone: 0, Reason: 7, Attempts: 2, Out: 500}}}}}); err != nil {
 		t.Fatal(err)
 	}
-	rows, err := Crossing(cfg)
+	rows, err := Crossing(cfg, false)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var table, text strings.Builder
-	if err := Table(&table, rows); err != nil || !strings.Contains(table.String(), "1020 bytes crossed between zones, 3 stayed at home") {
+	if err := Table(&table, rows); err != nil || !strings.Contains(table.String(), "1020 bytes crossed between zones, 3 stayed at home; the budget withheld requests that would have cost 500") {
 		t.Errorf("%v:\n%s", err, table.String())
 	}
-	if err := CSV(&text, rows); err != nil || !strings.Contains(text.String(), "save,basic,orders,1,0,no copy here,3,1000,20\nclass 5,?,volume 8,1,1,at home,1,1,2\n") {
+	if err := CSV(&text, rows); err != nil || !strings.Contains(text.String(), ",save,basic,orders,1,0,no copy here,3,1000,20\n,class 5,?,volume 8,1,1,at home,1,1,2\n") {
 		t.Errorf("%v:\n%s", err, text.String())
 	}
 	for _, name := range []string{"x.svg", "x.png"} {
@@ -62,6 +64,16 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
+	over, err := Crossing(cfg, true)
+	if err != nil || len(over) != 2 || over[0].From.Unix() != 1_800_000_000 || !over[1].Withheld {
+		t.Errorf("over time: %+v, %v", over, err)
+	}
+	if err := ChartOverTime(filepath.Join(dir, "t.svg"), over); err != nil {
+		t.Error(err)
+	}
+	if ChartOverTime(filepath.Join(dir, "t.svg"), nil) == nil {
+		t.Error("a chart of no time")
+	}
 	if Chart(filepath.Join(dir, "x.svg"), nil) == nil {
 		t.Error("a chart of nothing")
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -25,22 +25,27 @@
 	Quiet   bool // and nothing that it had sent may still run at a node
 	Logic   logic.Memory
 	Members []members.Memory
-	Crossed []Crossed        // bytes on the connections to nodes, by what they were for
+	Crossed []crossing.Count // bytes on the connections to nodes, by what they were for
 	Budget  *crossing.Memory // for what crosses zones; nil: not known
+	History []crossing.Slot  // the same over time
+	Copies  []Copies         // of mirrored extents, as a report; what counts are the marks
 }
 
-// Crossed is a row of the ledger of bytes.
-type Crossed struct {
-	Volume   uint64
-	Class    int
-	Zone     int
-	Reason   uint8
-	Attempts uint64
-	Out, In  int64
+// Copies is how the copies of a mirrored extent were.
+type Copies struct {
+	Volume      uint64
+	From, Len   int64  // bytes of the volume
+	Cells       []int  // where the copies lie
+	Whole       []bool // which of them missed nothing
+	Stale       int    // regions in which one is stale
+	Moves       uint64 // of leads
+	Caught      uint64 // runs caught up
+	CaughtBytes uint64
+	Refused     uint64 // changes that too few copies could take
 }
 
 // Version is the version that is written. Older ones are read by way of migrate.
-const Version = 3
+const Version = 4
 
 /*
 The file, all integers little-endian:
@@ -148,7 +153,7 @@
 			s.Members = append(s.Members, members.Memory{ID: n.Node.ID, Started: n.Node.Started, Refused: logic.Never})
 		}
 		return s, nil
-	case 2, 3: // version 2 had nothing of what crosses
+	case 2, 3, 4: // version 2 had nothing of what crosses, version 3 no history and no copies
 		s := &State{}
 		return s, decoder.Unmarshal(content, s)
 	}
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -115,8 +115,9 @@
 	v1 := filepath.Join("testdata", "v1.state")
 	v2 := filepath.Join("testdata", "v2.state")
 	v3 := filepath.Join("testdata", "v3.state")
+	v4 := filepath.Join("testdata", "v4.state")
 	if *update {
-		// Version 2's fixture was written by version 2 and cannot be written again.
+		// The fixtures of versions 2 and 3 were written by them and cannot be written again.
 		old := struct {
 			Gateway string
 			Written recall.Stamp
@@ -126,9 +127,9 @@
 		os.MkdirAll("testdata", 0o755)
 		os.WriteFile(v1, frame(1, c), 0o644)
 		b, _ := Encode(some(3))
-		os.WriteFile(v3, b, 0o644)
+		os.WriteFile(v4, b, 0o644)
 	}
-	for _, path := range []string{v1, v2, v3} {
+	for _, path := range []string{v1, v2, v3, v4} {
 		b, err := os.ReadFile(path)
 		if err != nil {
 			t.Fatal(err)
