--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -41,6 +41,8 @@
 	Vanish      Kind = "vanish"       // clients leave in the middle of what they do, and new ones come
 	Stop        Kind = "stop"         // a gateway's process is stopped and goes on
 	Takeover    Kind = "takeover"     // a second process takes over from a gateway's, as for new software
+	Link        Kind = "link"         // the link between two zones is late, narrow and loses data
+	Cut         Kind = "cut"          // it passes nothing, both ways or one; by turns where every is given
 	Kill        Kind = "kill"         // a gateway's process is killed, and started again after the time that lasts
 )
 
@@ -56,6 +58,10 @@
 	Part    float64
 	By      time.Duration
 	Bytes   int
+	Zones   [2]int        // of the gateways and of the nodes
+	Jitter  time.Duration // of a link; By is its delay, Part what it loses, Bytes its bandwidth a second
+	There   bool          // a cut link passes nothing to the nodes
+	Back    bool          // and nothing from them
 }
 
 func (e Event) String() string {
@@ -66,6 +72,8 @@
 	switch e.Kind {
 	case Stop, Kill, Takeover:
 		s += fmt.Sprintf(" gateway %d", e.Gateway)
+	case Link, Cut:
+		s += fmt.Sprintf(" from zone %d to %d", e.Zones[0], e.Zones[1])
 	case Surge:
 		s += fmt.Sprintf(" plan %s times %v", e.Plan, e.Times)
 	case Burst, Slow:
@@ -90,9 +98,15 @@
 // Shape bounds what a script may name.
 type Shape struct {
 	Nodes, Gateways int
+	Zones           int
 	Plans           []string
 }
 
+// Zoned tells whether a day needs zones with links between them.
+func (d *Day) Zoned() bool {
+	return slices.ContainsFunc(d.Events, func(e Event) bool { return e.Kind == Link || e.Kind == Cut })
+}
+
 // Load reads the script at path.
 func Load(path string, shape Shape) (*Day, error) {
 	dir, name := filepath.Split(path)
@@ -170,6 +184,28 @@
 			f.Bad("every", "is under 10 ms")
 		}
 	}))
+	zones := func(f *script.Form, e *Event) {
+		z := f.Wholes("zones", true, 0, int64(shape.Zones)-1)
+		if len(z) != 2 || z[0] == z[1] {
+			f.Bad("zones", "want two: that of the gateways and that of the nodes")
+			return
+		}
+		e.Zones = [2]int{z[0], z[1]}
+	}
+	event(Link, all(lasting, zones, func(f *script.Form, e *Event) {
+		e.By, e.Jitter = us(f.Duration("delay", 0)), us(f.Duration("jitter", 0))
+		if e.Part = f.Number("loss", 0); e.Part > 1 {
+			f.Bad("loss", "%v is over 1", e.Part)
+		}
+		e.Bytes = int(f.Size("bandwidth", 0))
+	}))
+	event(Cut, all(lasting, zones, func(f *script.Form, e *Event) {
+		way := f.Word("way", 0, "both", "there", "back")
+		e.There, e.Back = way != 2, way != 1
+		if e.By = us(f.Duration("every", 0)); e.By > 0 && e.By < 10*time.Millisecond {
+			f.Bad("every", "is under 10 ms")
+		}
+	}))
 	event(Eager, all(lasting))
 	event(Vanish, func(f *script.Form, e *Event) { e.Clients = int(f.Whole("clients", script.Must, 1, 1000)) })
 	event(RepeatList, all())
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -27,7 +27,10 @@
 var plans = []string{"basic", "standard", "priority"}
 
 // Shape bounds what a day may name.
-var Shape = day.Shape{Nodes: nodes, Gateways: gateways, Plans: plans}
+var Shape = day.Shape{Nodes: nodes, Gateways: gateways, Zones: 2, Plans: plans}
+
+// Zones of nodes and gateways, on days that have links.
+var nodeZones, gatewayZones = []int{0, 1, 0, 1, 0, 1, 0, 1}, []int{0, 1, 0}
 
 const (
 	tipOver = 4.0
@@ -43,9 +46,11 @@
     in_order = True, writes = True)
 class_(name = "sync", aim = ms(400), deadline = s(3), worth = 1, late_share = 0.2)
 class_(name = "report", aim = s(1), deadline = s(4), worth = 1, late_share = 0.1)
+class_(name = "copy", aim = s(1), deadline = s(4), worth = 0.1, late_share = 0.5, in_order = True, writes = True)
 plan(name = "basic", rate = 60, reserve = 20, weight = 1, price = 0.8, limit = 120, limit_burst = 60, limit_slack = 12)
 plan(name = "standard", rate = 60, reserve = 60, weight = 3)
 plan(name = "priority", rate = 100, reserve = 80, weight = 6, price = 1.4)
+plan(name = "catch-up", rate = 60, weight = 0.1)
 rules(answer_slack = ms(100), stop_sending = s(1), order_pause = ms(300),
     cold_from = 0.2, cold_time = s(5), cold_units = 50, overload_time = s(1), tip_multiple = 4,
     budget_window = s(1), budget_free = 5, budget_per_take = 0.2)
@@ -55,7 +60,7 @@
     dict(kind = "write_zeroes", class_ = "journal")]
 `
 
-func shape(record bool) fleet.Shape {
+func shape(record, zoned bool) fleet.Shape {
 	s := fleet.Shape{
 		Nodes: nodes, Gateways: gateways, Listed: true, Head: head,
 		Gateway: ", unit_mean = 1.4, unit_top = 8, max_attempts = 4, tells_elsewhere = True",
@@ -76,6 +81,19 @@
 		}
 		s.Volumes = append(s.Volumes, v)
 	}
+	if !zoned {
+		return s
+	}
+	s.Zones, s.At, s.Links, s.Node.Volatile = nodeZones, gatewayZones, true, true
+	s.More += "copies(class_ = \"copy\", plan = \"catch-up\", region = KiB(128))\n"
+	for g := range gateways { // all their data lies in the gateway's zone and in the other
+		v := fleet.Volume{Name: fmt.Sprint("mirror", g), Plan: "standard", Extent: 4 << 20, Table: "TABLE", Through: []int{g}}
+		for j := range 3 {
+			home := 2*((g+j)%4) + gatewayZones[g]
+			v.Cells, v.Mirrors = append(v.Cells, home), append(v.Mirrors, []int{home ^ 1})
+		}
+		s.Volumes = append(s.Volumes, v)
+	}
 	return s
 }
 
@@ -162,8 +180,8 @@
 	procs []*process
 }
 
-func raise(o *Options, record bool) (*stage, error) {
-	f, err := fleet.New(o.Dir, shape(record))
+func raise(o *Options, record, zoned bool) (*stage, error) {
+	f, err := fleet.New(o.Dir, shape(record, zoned))
 	if err != nil {
 		return nil, err
 	}
@@ -249,7 +267,7 @@
 
 // Hold keeps the fleet up until done is closed, having printed where everything is as one line of JSON.
 func Hold(o Options, done <-chan struct{}) error {
-	s, err := raise(&o, false)
+	s, err := raise(&o, false, false)
 	if err != nil {
 		return err
 	}
