--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -95,6 +95,7 @@
 	r        *Request
 	volume   *settings.Volume
 	off, len int64 // in the volume
+	copy     int   // of a mirrored extent, where it is a change
 	sent     []*standin.Command
 }
 
@@ -158,7 +159,7 @@
 			for j, c := range x.Copies {
 				// A change is a piece of its own at each copy; a read is one wherever it goes.
 				if j == 0 || r.Kind.Changes() {
-					p = &piece{r: r, volume: v, off: from, len: to - from}
+					p = &piece{r: r, volume: v, off: from, len: to - from, copy: j}
 				}
 				at := place{r.Gateway, c.Cell, c.Namespace, r.Kind, c.Base + from - x.Start, to - from}
 				if r.Kind == block.Flush {
@@ -396,10 +397,10 @@
 // later one has waited out the rest that the rule gives an attempt whose end is not known.
 func (a *auditor) order() {
 	pause := time.Duration(a.Config.Logic.Rules.OrderPause) * time.Microsecond
-	byVolume := map[[2]int][]*piece{} // by volume and gateway: each keeps the order of what it took
+	byVolume := map[[3]int][]*piece{} // by volume, gateway and copy: each gateway keeps the order of what it took at each
 	for _, p := range a.pieces {
 		if p.r.Kind.Changes() && a.class(p.r).InOrder && len(p.sent) > 0 {
-			key := [2]int{p.r.Volume, p.r.Gateway}
+			key := [3]int{p.r.Volume, p.r.Gateway, p.copy}
 			byVolume[key] = append(byVolume[key], p)
 		}
 	}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -140,3 +140,45 @@
 		d.send(0, nvme.OpRead, int64(100+i)*512, 512, 0, 810+i, 850)
 	}
 }
+
+// On a mirrored extent a change is sent to each copy, in an order for each; a read of more that no client asked for, and
+// the write of the same bytes to the other copy, catch that up. What else no client asked for is still found.
+func TestMirrored(t *testing.T) {
+	day := func() *Day {
+		d := clean(t)
+		x := &d.Config.Volumes[0].Extents[0]
+		x.Copies = append(x.Copies, settings.Place{Cell: 1, Namespace: 9})
+		d.Requests = d.Requests[:0]
+		for i := range d.Nodes {
+			d.Nodes[i].Commands = nil
+		}
+		d.ask(block.Write, 8192, 4096, 21, 0, 20)
+		d.ask(block.Write, 8192, 4096, 22, 5, 60)
+		d.send(0, nvme.OpWrite, 8192, 4096, 21, 1, 10)
+		d.send(1, nvme.OpWrite, 8192, 4096, 21, 1, 50).Namespace = 9 // after its answer, and later than the next at copy 0
+		d.send(0, nvme.OpWrite, 8192, 4096, 22, 11, 20)
+		d.send(1, nvme.OpWrite, 8192, 4096, 22, 51, 60).Namespace = 9
+		return d
+	}
+	d := day()
+	d.send(0, nvme.OpRead, 8192, 4096, 0, 100, 110)
+	d.send(1, nvme.OpWrite, 8192, 4096, 22, 120, 130).Namespace = 9
+	if got := Check(d); len(got) > 0 || d.Moves != 2 {
+		t.Errorf("%d moves, %v", d.Moves, got)
+	}
+	for name, bad := range map[string]func(d *Day){
+		"order at one copy":      func(d *Day) { d.send(1, nvme.OpWrite, 8192, 4096, 22, 30, 40).Namespace = 9 },
+		"a read where none is":   func(d *Day) { d.send(1, nvme.OpRead, 4096, 4096, 0, 10, 20) },
+		"sent past its deadline": func(d *Day) { d.send(0, nvme.OpWrite, 8192, 4096, 21, 1500, 1510) },
+		"an effect a second time": func(d *Day) {
+			d.ask(block.Write, 0, 128<<10, 30, 0, 90)
+			d.send(0, nvme.OpWrite, 0, 128<<10, 30, 1, 9)
+			d.send(0, nvme.OpWrite, 0, 128<<10, 30, 20, 30)
+		},
+	} {
+		d := day()
+		if bad(d); len(Check(d)) == 0 {
+			t.Errorf("%s: not found", name)
+		}
+	}
+}
