--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -419,7 +419,6 @@
 		c.out = append(c.out, Action{Kind: Drop, Attempt: &a.Attempt})
 		c.tell(now, a, block.Result{Outcome: logic.TimedOut, Load: logic.NoLoad})
 	}
-	c.tend(now)
 	for i := range c.vols {
 		for _, o := range c.vols[i].orders {
 			o.Expired(now, func(id logic.RequestID) { c.refuse(now, id, ranges.Refused, 0) })
@@ -441,6 +440,7 @@
 	for _, x := range c.actions {
 		c.act(now, x)
 	}
+	c.tend(now) // after logic has heard of the nodes
 	clear(c.actions)
 	out := c.out
 	clear(c.before)
--- a/internal/engine/mirror.go
+++ b/internal/engine/mirror.go
@@ -221,10 +221,15 @@
 	if mask &^= p.tried; mask == 0 || end < from+p.len {
 		return false
 	}
-	before := p.copy
+	before, once := p.copy, p.once
 	if _, ok := c.choose(now, p, mask); !ok || !c.reach(p.place.Cell) {
 		p.copy, p.place = before, &p.extent.Copies[before]
-		return false
+		if p.once = false; !once || !c.reach(p.place.Cell) {
+			return false
+		}
+		// It was given up early for the sake of a copy that it may not go to: it goes on where it was, if need be late.
+	} else {
+		p.spills = p.spills || c.home[p.extent.Copies[before].Cell]
 	}
 	delete(c.pieces, p.id)
 	c.lastID++
