--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -265,6 +265,7 @@
 		ID:   logic.NodeID(f.Whole("id", script.Must, 1, math.MaxUint32)),
 		Zone: zone(f), Cell: int(f.Whole("cell", script.Must, 0, 1<<24)),
 		Address: f.Text("address", "", false), NQN: f.Text("nqn", "", true), Rating: f.Number("rating", 1),
+		Bytes: f.Size("capacity", 0),
 	}
 	f.Name = fmt.Sprintf("node(%d)", n.ID)
 	if len(n.NQN) > 223 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -110,6 +110,7 @@
 	Address string // host:port
 	NQN     string
 	Rating  float64
+	Bytes   int64 // it may hold; 0: not told. Only what is placed anew asks
 }
 
 // Directory is the discovery controller that tells which nodes are there; without an address the list of
--- /dev/null
+++ b/placing/placing_test.go
@@ -0,0 +1,91 @@
+package placing
+
+import (
+	"errors"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestPlace(t *testing.T) {
+	const gib = 1 << 30
+	good := func(id, zone int) Cell { return Cell{ID: id, Zone: zone, Ready: true, Capacity: 10 * gib} }
+	with := func(c Cell, f func(c *Cell)) Cell { f(&c); return c }
+	cold := func(c *Cell) { c.Cold = true }
+	full := func(c *Cell) { c.Used = c.Capacity - gib/2 }
+	fails := func(c *Cell) { c.Failing = 0.3 }
+	for _, x := range []struct {
+		name   string
+		cells  []Cell
+		copies int
+		want   []int // nil: no room
+	}{
+		{"at home", []Cell{good(0, 1), good(1, 0)}, 1, []int{1}},
+		{"a copy elsewhere", []Cell{good(0, 0), good(1, 0), good(2, 1)}, 2, []int{0, 2}},
+		{"the emptiest at home", []Cell{with(good(0, 0), func(c *Cell) { c.Used = gib }), good(1, 0), good(2, 1)}, 1, []int{1}},
+		{"home is cold", []Cell{with(good(0, 0), cold), good(1, 1)}, 1, []int{1}},
+		{"home fails", []Cell{with(good(0, 0), fails), good(1, 1)}, 1, []int{1}},
+		{"home is full", []Cell{with(good(0, 0), full), good(1, 1)}, 1, []int{1}},
+		{"home is gone", []Cell{with(good(0, 0), func(c *Cell) { c.Ready = false }), good(1, 1)}, 1, []int{1}},
+		{"all are cold", []Cell{with(good(0, 1), cold), with(good(1, 0), cold)}, 1, []int{1}},
+		{"a cold one in another zone before a good one in the same", []Cell{good(0, 0), good(1, 0), with(good(2, 1), cold)}, 2, []int{0, 2}},
+		{"one zone only", []Cell{good(0, 0), good(1, 0)}, 2, []int{0, 1}},
+		{"zones not told", []Cell{good(0, -1), good(1, -1)}, 2, []int{0, 1}},
+		{"no room", []Cell{with(good(0, 0), full), with(good(1, 1), full)}, 1, nil},
+		{"no room for a second", []Cell{good(0, 0)}, 2, nil},
+	} {
+		got, err := Place(x.cells, 0, gib, x.copies)
+		var none *NoRoomError
+		if !reflect.DeepEqual(got, x.want) || (x.want == nil) != errors.As(err, &none) {
+			t.Errorf("%s: %v, %v; want %v", x.name, got, err, x.want)
+		}
+	}
+}
+
+// Copies never share a cell, nothing is overfilled, and copies share a zone only where zones are too few; good cells of a
+// zone are filled evenly.
+func TestPlaceEvenly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones, each := rapid.IntRange(1, 3).Draw(t, "zones"), rapid.IntRange(1, 5).Draw(t, "each")
+		var cells []Cell
+		for i := range zones * each {
+			cells = append(cells, Cell{ID: i, Zone: i % zones, Ready: true, Capacity: 100})
+		}
+		copies := rapid.IntRange(1, 3).Draw(t, "copies")
+		for {
+			ids, err := Place(cells, 0, 10, copies)
+			if err != nil {
+				break
+			}
+			seen, in := map[int]bool{}, map[int]bool{}
+			for _, id := range ids {
+				seen[id], in[cells[id].Zone] = true, true
+			}
+			if len(seen) != copies {
+				t.Fatalf("%v: a cell stands twice", ids)
+			}
+			room := map[int]bool{}
+			for _, c := range cells {
+				if c.Used > c.Capacity {
+					t.Fatalf("cell %d is overfilled", c.ID)
+				}
+				if c.Used+10 <= c.Capacity || seen[c.ID] {
+					room[c.Zone] = true
+				}
+			}
+			if len(in) < min(copies, len(room)) {
+				t.Fatalf("%v lie in %d zones, %d have room", ids, len(in), len(room))
+			}
+			least, most := int64(100), int64(0)
+			for _, c := range cells {
+				if c.Zone == 0 {
+					least, most = min(least, c.Used), max(most, c.Used)
+				}
+			}
+			if most-least > 10 {
+				t.Fatalf("zone 0 is filled from %d to %d", least, most)
+			}
+		}
+	})
+}
