--- a/internal/gateway/mirror_test.go
+++ b/internal/gateway/mirror_test.go
@@ -220,9 +220,10 @@
 		}
 		var wg sync.WaitGroup
 		wg.Add(1)
+		until := time.Now().Add(time.Duration(20+rng.IntN(150)) * time.Millisecond)
 		go func() {
 			defer wg.Done()
-			w.work(time.Now().Add(time.Duration(20+rng.IntN(150))*time.Millisecond), spread)
+			w.work(until, spread)
 		}()
 		time.Sleep(time.Duration(10+rng.IntN(120)) * time.Millisecond)
 		if round%3 == 2 { // a node dies with the gateway
