New objects in the engine: logic places them, package slabs finds their bytes

A write of a new object gets its bytes at the node that logic chooses (Cell below zero), in the gateway's zone where that has room (Arrival.Home); where some nodes are full package placing finds the cell. slabs gives space out, keeps back what an old write may yet land on, and knows nothing that the catalogue does not, so a crash leaks nothing.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -15,6 +15,7 @@
 	"appleplank/internal/settings"
 	"appleplank/logic"
 	"appleplank/ranges"
+	"appleplank/slabs"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -93,6 +94,7 @@
 	orders []*ranges.Order // one for each copy that an extent has; what has no mirrors uses the first
 	sets   []*copies.Set   // for each extent; nil where it has one copy
 	memory *semaphore.Weighted
+	space  *slabs.Space // of a volume of objects
 }
 
 type wake struct {
@@ -112,6 +114,7 @@
 	volume int
 	class  int
 	reason Reason
+	object int64   // byte of the volume, of a new object
 	asked  float64 // bytes of the budget that it has been let through with
 }
 
@@ -145,6 +148,9 @@
 				vol.orders = append(vol.orders, ranges.New(func() uint64 { lastKey++; return lastKey }))
 			}
 		}
+		if v.Objects {
+			vol.space = newSpace(v)
+		}
 		c.vols = append(c.vols, vol)
 	}
 	return c, nil
@@ -160,6 +166,9 @@
 		for _, o := range c.vols[i].orders {
 			o.Rest(now + c.cfg.Logic.Rules.OrderPause)
 		}
+		if s := c.vols[i].space; s != nil {
+			s.Rest(now + c.cfg.Logic.Rules.OrderPause)
+		}
 	}
 }
 
@@ -202,8 +211,10 @@
 	op.joined, op.answer = op.Ran, ranges.Served
 	op.Class, _ = v.Class(op.Kind, op.Len)
 	by := now + cmp.Or(op.Left, c.cfg.Logic.Classes[op.Class].Deadline) - c.cfg.Times.AnswerMargin
-	op.left, op.alive = 1, 1    // until all parts are made, so that none ends it before
-	if op.Kind == block.Flush { // to each namespace the volume lies on; mirrored changes are durable already
+	op.left, op.alive = 1, 1 // until all parts are made, so that none ends it before
+	if op.Fresh {
+		c.newObject(now, op, v, by)
+	} else if op.Kind == block.Flush { // to each namespace the volume lies on; mirrored changes are durable already
 		for i := range v.Extents {
 			if x := &v.Extents[i]; len(x.Copies) == 1 && !sameNamespace(v.Extents[:i], x) {
 				c.part(now, c.newPiece(op, v, x, 0, 0, 0, by))
@@ -238,8 +249,11 @@
 func (c *Core) newPiece(op *Op, v *volume, x *settings.Extent, copy int, from, n int64, by logic.Micros) *piece {
 	c.lastID++
 	p := piecePool.Get().(*piece)
-	*p = piece{id: logic.RequestID(c.lastID), op: op, vol: v, extent: x, place: &x.Copies[copy], copy: copy, from: from, len: n, units: v.Units(n),
+	*p = piece{id: logic.RequestID(c.lastID), op: op, vol: v, extent: x, copy: copy, from: from, len: n, units: v.Units(n),
 		dropDead: by, fresh: true, ordered: op.Kind.Changes()}
+	if x != nil {
+		p.place = &x.Copies[copy]
+	}
 	op.pieces = append(op.pieces, p)
 	op.left++
 	op.alive++
@@ -297,9 +311,10 @@
 func (c *Core) arrive(p *piece, key uint64) {
 	p.held = false
 	a := logic.Arrival{
-		Request: p.id, Class: p.op.Class, Cell: p.place.Cell, Key: key, Volume: logic.VolumeID(p.vol.ID),
+		Request: p.id, Class: p.op.Class, Cell: p.cell(), Key: key, Volume: logic.VolumeID(p.vol.ID),
 		Plan: p.vol.Plan, Attached: p.vol.Attached, Units: p.units, DropDead: p.dropDead, Tried: p.tries, Once: p.once,
 	}
+	a.Home = p.object != nil && p.object.home
 	if p.op.fill != nil { // a queue of its own, so that it yields to the volume's
 		a.Volume, a.Plan = fillVolume|a.Volume, c.cfg.Copies.Plan
 	}
@@ -369,6 +384,9 @@
 			p.result, p.at = a.Buffer.Hold(), a.At
 		}
 	}
+	if p.object != nil {
+		c.objectEnded(a, r.Outcome)
+	}
 	c.events = append(c.events, logic.AttemptEnded{
 		Request: p.id, Attempt: a.number, Node: a.Node, Outcome: r.Outcome, Took: now - a.sent,
 		Settled: r.Outcome == logic.OK || p.answered, Elsewhere: int(r.Elsewhere / p.vol.UnitBytes), Load: r.Load,
@@ -490,10 +508,16 @@
 	if s.StopAt > 0 {
 		a.stopAt = min(a.stopAt, s.StopAt)
 	}
-	a.Node, a.Kind, a.Namespace, a.Len, a.Offset, a.At, a.Key = s.Node, op.Kind, p.place.Namespace, p.len, 0, 0, 0
+	a.Node, a.Kind, a.Len, a.Offset, a.At, a.Key = s.Node, op.Kind, p.len, 0, 0, 0
+	room := true
+	if p.object != nil {
+		room = c.findRoom(now, a)
+	} else {
+		a.Namespace = p.place.Namespace
+	}
 	// A copy that loses what it had not stored yet would be read as if nothing had happened.
-	a.Durable = op.Durable || len(p.extent.Copies) > 1
-	if op.Kind != block.Flush {
+	a.Durable = op.Durable || p.extent != nil && len(p.extent.Copies) > 1
+	if op.Kind != block.Flush && p.object == nil {
 		a.Offset = p.place.Base + op.Offset + p.from - p.extent.Start
 	}
 	if op.Kind.Changes() {
@@ -510,6 +534,11 @@
 	c.tally.Out++
 	c.tally.Attempts++
 	switch {
+	case !room:
+		c.budget.Back(now, a.asked)
+		c.tell(now, a, block.Result{Outcome: logic.Moot, Load: logic.NoLoad})
+		c.recycle(a)
+		return
 	case op.Kind == block.Write:
 		a.Buffer, a.At = op.Buffer.Hold(), p.from+op.at
 	case op.Kind == block.Read && p.fresh:
@@ -590,6 +619,9 @@
 	if p.asked > 0 { // it never crossed after all
 		c.budget.Back(now, p.asked)
 	}
+	if p.object != nil {
+		c.letGo(now, p)
+	}
 	if p.ordered {
 		rest := p.rest
 		if rest <= now {
--- a/internal/engine/crossed.go
+++ b/internal/engine/crossed.go
@@ -54,9 +54,12 @@
 
 // mayCross asks the budget for a piece whose data lies in no node of this gateway's zone; wait is when to come back.
 func (c *Core) mayCross(now logic.Micros, p *piece) (wait logic.Micros, ok bool) {
-	p.asked, wait, ok = c.ask(now, p.op.Class, p.place.Cell, dataBytes(p.op.Kind, p.len))
+	if p.object != nil && p.object.home {
+		return 0, true
+	}
+	p.asked, wait, ok = c.ask(now, p.op.Class, p.cell(), dataBytes(p.op.Kind, p.len))
 	if !ok {
-		c.withheld(p.vol, p.op, p.place.Cell, p.len)
+		c.withheld(p.vol, p.op, p.cell(), p.len)
 	}
 	return wait, ok
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -53,6 +53,7 @@
 	ended
 	nodes
 	kept
+	freed
 	tick
 )
 
@@ -66,6 +67,8 @@
 	nodes   []logic.Node
 	mark    Mark
 	ok      bool
+	volume  int
+	at      int64
 }
 
 // clockStart is the engine's time at its start: above zero, as logic takes zero for never, and with room for nodes
@@ -100,6 +103,25 @@
 	return e.core.RememberMark(m)
 }
 
+// TakeSpace marks what an object lies on as used, before anything is brought.
+func (e *Engine) TakeSpace(volume int, at, n int64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.TakeSpace(volume, at, n)
+}
+
+// FreeSpace gives an object's bytes back. Nobody may read them any more.
+func (e *Engine) FreeSpace(volume int, at int64) { e.post(input{kind: freed, volume: volume, at: at}) }
+
+// Space tells the free and used bytes of a volume of objects.
+func (e *Engine) Space(volume int) (free, used int64) {
+	e.mu.Lock()
+	free, used = e.core.Space(e.Now(), volume)
+	e.mu.Unlock()
+	e.catchUp()
+	return free, used
+}
+
 // Mirrors tells how the copies of mirrored extents are.
 func (e *Engine) Mirrors() []Mirrored {
 	e.mu.Lock()
@@ -258,6 +280,8 @@
 				e.core.Ended(now, in.attempt, in.result)
 			case nodes:
 				e.core.Nodes(now, in.nodes)
+			case freed:
+				e.core.FreeSpace(now, in.volume, in.at)
 			case kept:
 				e.core.Kept(now, in.mark, in.ok)
 			case tick:
--- a/internal/engine/mirror_test.go
+++ b/internal/engine/mirror_test.go
@@ -80,6 +80,7 @@
 	served int
 	value  uint64
 	clock  int // counts what happens to clients
+	done   func(op *Op, r *asked)
 }
 
 // asked is a request that is not over for its client: the value that a write writes, when it was asked, and for a read
@@ -157,7 +158,9 @@
 		p.Fatal("an answer to a request that has one or whose client is gone")
 	}
 	p.over(r)
-	if op.Verdict == block.Served {
+	if p.done != nil {
+		p.done(op, r)
+	} else if op.Verdict == block.Served {
 		p.served++
 		for b := op.Offset / 512; b < (op.Offset+op.Len)/512 && op.Kind == block.Write; b++ {
 			p.acked[b] = max(p.acked[b], r.begun)
--- a/internal/engine/op.go
+++ b/internal/engine/op.go
@@ -30,6 +30,7 @@
 	Key     uint64       // by which nodes drop repeats, also those of an earlier process; 0: the engine finds one
 	Left    logic.Micros // patience that is left; 0: its class's deadline
 	Ran     bool         // an attempt of an earlier process may have run
+	Fresh   bool         // a write of a new object: where it lies is found, and stands in Offset when it is served
 	Front   Front
 	Tag     uint64 // the front's own
 
@@ -38,6 +39,7 @@
 	CoolDown logic.Micros // refused: when a retry has a chance; 0: no advice
 	Class    int
 	Took     logic.Micros
+	NoRoom   bool // refused: no place has room for the object
 
 	refs   atomic.Int32
 	taken  logic.Micros
@@ -75,8 +77,8 @@
 		op.pieces[i] = nil
 	}
 	op.Buffer.Release()
-	op.Volume, op.Kind, op.Offset, op.Len, op.Buffer, op.Durable, op.Key, op.Left, op.Ran, op.Front, op.Tag = 0, 0, 0, 0, nil, false, 0, 0, false, nil, 0
-	op.Verdict, op.CoolDown, op.Class, op.Took, op.taken = 0, 0, 0, 0, 0
+	op.Volume, op.Kind, op.Offset, op.Len, op.Buffer, op.Durable, op.Key, op.Left, op.Ran, op.Fresh, op.Front, op.Tag = 0, 0, 0, 0, nil, false, 0, 0, false, false, nil, 0
+	op.Verdict, op.CoolDown, op.Class, op.Took, op.NoRoom, op.taken = 0, 0, 0, 0, false, 0
 	op.left, op.alive, op.answer, op.joined, op.gone, op.over = 0, 0, 0, false, false, false
 	op.pieces = op.pieces[:0]
 	clear(op.changes)
@@ -117,10 +119,11 @@
 	change   *change // it brings a change to one of several copies
 	set      mirror  // it reads from one of several copies
 	tried    copies.Mask
-	before   int  // attempts at copies it went to before
-	spills   bool // a copy lies at home
-	once     bool // it may go to another copy yet
-	ran      bool // an attempt may have run
+	object   *object // it writes a new object
+	before   int     // attempts at copies it went to before
+	spills   bool    // a copy lies at home
+	once     bool    // it may go to another copy yet
+	ran      bool    // an attempt may have run
 }
 
 var piecePool = sync.Pool{New: func() any { return new(piece) }}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -302,6 +302,9 @@
 	}
 	v.Queues = int(f.Whole("queues", 4, 1, 64))
 	v.ReadOnly = f.Flag("read_only", false)
+	if v.Objects = f.Flag("objects", false); v.Objects && v.Socket != "" {
+		f.Bad("socket", "a volume of objects is no disk")
+	}
 	v.Serial = f.Text("serial", v.Name, false)
 	if len(v.Serial) > 20 {
 		f.Bad("serial", "longer than 20 bytes")
@@ -478,6 +481,9 @@
 			continue
 		}
 		some = true
+		if v.Objects {
+			bad(pos, fmt.Sprintf("volume(%q)", v.Name), "space for objects cannot be mirrored")
+		}
 		at := fmt.Sprintf("volume(%q)", v.Name)
 		// What a copy has missed is known to the gateway that has sent it, and to no other.
 		if v.Attached != 1 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,6 +38,7 @@
 	Queues    int
 	ReadOnly  bool
 	Serial    string
+	Objects   bool  // its extents are space for objects, not a disk
 	Memory    int64 // bytes of data buffers its requests may hold at a time
 	Extents   []Extent
 	Rows      []Row
--- a/logic/api.go
+++ b/logic/api.go
@@ -158,6 +158,7 @@
 	Units    float64
 	DropDead Micros // when the client stops waiting for this try
 	Tried    int    // attempts made before under other ids, at cells that hold the same
+	Home     bool   // a new object: only to nodes of this host's zone
 	Once     bool   // its caller has another place: given up when one attempt fails or the aim is missed here
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -171,7 +171,7 @@
 	r := &request{
 		id: e.Request, seq: h.seq, class: &h.set.Classes[e.Class], vol: v, cell: max(e.Cell, -1), key: e.Key,
 		units: e.Units, arrived: h.now, dropDead: e.DropDead, tried: max(e.Tried, 0), charged: e.Tried > 0,
-		once: e.Once,
+		once: e.Once, home: e.Home && e.Cell < 0,
 	}
 	if !(r.units > 0) || math.IsInf(r.units, 0) {
 		r.units = 1 // can't be right
@@ -445,7 +445,7 @@
 		}
 		at = max(at, h.now+Micros(max(least-h.fill(r.vol), 0)*r.vol.attached/p.Limit*float64(sec)))
 	}
-	units, anywhere := r.units, r.cell < 0 && !r.maybe
+	units, anywhere := r.units, r.cell < 0 && !r.maybe && !r.home
 	if anywhere {
 		units = h.set.UnitMean // found once a Step for all of them
 	}
@@ -624,12 +624,15 @@
 	if r.cell >= 0 {
 		nodes = h.cells[r.cell]
 	}
-	if !r.maybe || r.class.Group != GroupZone {
+	bound := r.maybe && r.class.Group == GroupZone
+	if !bound && !r.home {
 		return nodes
 	}
+	// Exception: where bytes between zones cost, a caller keeps its new objects in this host's zone.
+	// Harm: other zones idle.
 	var zone []*node
 	for _, n := range nodes {
-		if n.Zone == r.group.Zone {
+		if (!bound || n.Zone == r.group.Zone) && (!r.home || n.Zone == h.set.Zone) {
 			zone = append(zone, n)
 		}
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -775,6 +775,26 @@
 	}
 }
 
+// A new object that is to stay in its host's zone goes to no other, however free that is.
+func TestNewObjectAtHome(t *testing.T) {
+	s := plain()
+	s.Zone = 1
+	b := newBench(t, s, 3)
+	b.step(NodeList{Kind: ListDelta, Nodes: []Node{{ID: 3, Cell: 2, Zone: 1, State: Ready}}})
+	home := func(a *Arrival) { a.Home = true }
+	for i := range 6 {
+		for _, a := range b.step(b.ask(0, 0, cell(-1), home)) {
+			if s, ok := a.(Send); ok && s.Node != 3 {
+				t.Errorf("request %d went to node %d", i, s.Node)
+			}
+		}
+	}
+	b.step(NodeList{Kind: ListDelta, Nodes: []Node{{ID: 3, Cell: 2, Zone: 1, State: Gone}}})
+	if got := b.step(b.ask(0, 0, cell(-1), home)); !has(got, Deny{Request: 7}) {
+		t.Errorf("%v with no node at home, want it refused", got)
+	}
+}
+
 // Outlook is never without a node, and grows with what waits, with a rest, with a full window.
 func TestOutlook(t *testing.T) {
 	b := newBench(t, plain(), 2)
--- a/logic/state.go
+++ b/logic/state.go
@@ -62,6 +62,7 @@
 	attempts []*attempt
 	tried    int // attempts before it came here
 	once     bool
+	home     bool
 	out      int
 	queued   bool // in a lane of its volume
 	waiting  bool // held: owed an answer, no attempt out
--- /dev/null
+++ b/slabs/slabs_test.go
@@ -0,0 +1,102 @@
+package slabs
+
+import (
+	"testing"
+
+	"appleplank/logic"
+
+	"pgregory.net/rapid"
+)
+
+// Under any course of giving out, freeing, rests and restarts: no two runs overlap, each lies in one slab of its cell,
+// what rests is not given out early, and all that is freed is found again as one run.
+func TestSpace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slabs := []Slab{{0, 0, 20 * Unit}, {1, 20 * Unit, 16*Unit + 100}, {0, 40 * Unit, 8 * Unit}}
+		s := New(slabs)
+		now := logic.Micros(1000)
+		type object struct {
+			from, n int64
+			until   logic.Micros
+		}
+		var live, resting []object
+		check := func(from, n int64, cell int) {
+			x := s.slab(from)
+			if x == nil || x.Cell != cell || from < x.From || from+whole(n) > x.From+x.Len {
+				t.Fatalf("%d bytes from %d lie in no slab of cell %d", n, from, cell)
+			}
+			for _, o := range live {
+				if from < o.from+whole(o.n) && o.from < from+whole(n) {
+					t.Fatalf("%d+%d overlaps %d+%d", from, n, o.from, o.n)
+				}
+			}
+			for _, o := range resting {
+				if o.until > now && from < o.from+whole(o.n) && o.from < from+whole(n) {
+					t.Fatalf("%d+%d is given out while it rests until %d, at %d", from, n, o.until, now)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch k := rapid.IntRange(0, 9).Draw(t, "what"); {
+			case k < 5:
+				cell, n := rapid.IntRange(0, 2).Draw(t, "cell"), rapid.Int64Range(0, 7*Unit).Draw(t, "n")
+				fits := s.Fits(now, cell, n)
+				from, ok := s.Alloc(now, cell, n)
+				if ok != fits {
+					t.Fatalf("fits %v, given out %v", fits, ok)
+				}
+				if ok {
+					check(from, n, cell)
+					live = append(live, object{from: from, n: n})
+				}
+			case k < 8 && len(live) > 0:
+				i := rapid.IntRange(0, len(live)-1).Draw(t, "which")
+				o := live[i]
+				if rapid.Bool().Draw(t, "busy") {
+					o.until = now + 500
+					s.Busy(o.from, o.until)
+				}
+				if err := s.Free(now, o.from); err != nil {
+					t.Fatal(err)
+				}
+				if s.Free(now, o.from) == nil {
+					t.Fatal("freed twice without an error")
+				}
+				live = append(live[:i], live[i+1:]...)
+				resting = append(resting, o)
+			case k == 8: // a restart: only what the catalogue names is used
+				s = New(slabs)
+				for _, o := range live {
+					if err := s.Take(o.from, o.n); err != nil {
+						t.Fatal(err)
+					}
+				}
+				for _, o := range live {
+					if s.Take(o.from, o.n) == nil {
+						t.Fatal("taken twice without an error")
+					}
+				}
+				resting = nil
+			default:
+				now += logic.Micros(rapid.IntRange(1, 800).Draw(t, "pass"))
+			}
+		}
+		for _, o := range live {
+			s.Free(now, o.from)
+		}
+		now += 10_000
+		free, used := s.Totals(now)
+		if free != 44*Unit || used != 0 || s.byFrom.Len() != 3 || s.Room(now, 1) != 16*Unit {
+			t.Fatalf("%d bytes free, %d used, in %d runs", free, used, s.byFrom.Len())
+		}
+	})
+}
+
+func TestTakeOutside(t *testing.T) {
+	s := New([]Slab{{0, 0, 4 * Unit}, {1, 4 * Unit, 4 * Unit}})
+	for _, x := range [][2]int64{{-Unit, 1}, {8 * Unit, 1}, {100, 1}, {3 * Unit, 2 * Unit}} {
+		if s.Take(x[0], x[1]) == nil {
+			t.Errorf("%d bytes from %d were taken", x[1], x[0])
+		}
+	}
+}
