WebDAV front: files as objects on the nodes, with a catalogue that survives crashes

The front speaks RFC 4918 class 1 and 2 over the engine: bodies become objects that logic places, a PUT is seen whole or not at all, MOVE is one transaction, COPY is linked at once, locks and properties outlast restarts, answers tell refused (503, Retry-After) from failed (502) and full (507).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,6 +26,7 @@
 	Listed   bool   // a directory names the nodes, instead of the settings
 	Head     string // settings that all gateways share: classes, plans, rules
 	Gateway  string // more arguments of gateway()
+	Last     string // calls that stand behind the volumes
 	More     string // further calls: times, bounds, state; %s stands for the gateway's name
 }
 
@@ -202,7 +203,7 @@
 			}
 		}
 		fmt.Fprintf(&b, "volume(id = %d, name = %q, plan = %q, gateways = %d, %stable = %s,%s extents = [\n", i+1, v.Name, v.Plan,
-			len(v.Through), socket, v.Table, v.More)
+			max(len(v.Through), 1), socket, v.Table, v.More)
 		at := map[int]int64{}
 		for j, cell := range v.Cells {
 			place := func(cell int) string {
@@ -217,6 +218,7 @@
 		}
 		b.WriteString("])\n")
 	}
+	b.WriteString(s.Last)
 	return b.String()
 }
 
--- /dev/null
+++ b/internal/gateway/dav_test.go
@@ -0,0 +1,487 @@
+package gateway_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"appleplank/internal/catalogue"
+	"appleplank/internal/fleet"
+	"appleplank/internal/front/dav"
+	"appleplank/internal/gateway"
+
+	"golang.org/x/crypto/bcrypt"
+)
+
+// filed is a fleet whose gateway serves files.
+func filed(t testing.TB) fleet.Shape {
+	hash, err := bcrypt.GenerateFromPassword([]byte("secret"), bcrypt.MinCost)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := one()
+	s.Nodes = 3
+	s.Node.Volatile = true
+	s.Volumes = append(s.Volumes, fleet.Volume{Name: "files", Plan: "priority", Cells: []int{0, 1, 2, 0}, Extent: 8 << 20, Table: "TABLE",
+		More: " objects = True,"})
+	s.More = "state(dir = \"kept-%s\", every = ms(50))\nrules(order_pause = ms(50))\n"
+	s.Last = fmt.Sprintf(`user(name = "ann", hash = %q)
+user(name = "bob", hash = %q)
+dav(listen = "127.0.0.1:0", trees = [dict(path = "/f", volume = "files", write = ["ann"], read = ["bob"])])
+`, hash, hash)
+	return s
+}
+
+// web is a client of the gateway's files.
+type web struct {
+	t    testing.TB
+	base string
+	user string
+	http http.Client
+}
+
+func newWeb(t testing.TB, g *gateway.Gateway) *web {
+	w := &web{t: t, base: "http://" + g.Dav.Addresses()[0], user: "ann", http: http.Client{Transport: &http.Transport{}, Timeout: 20 * time.Second}}
+	// After a start that followed no end by itself new objects are refused until nothing of before can land.
+	if err := fleet.Eventually(5*time.Second, func() bool { code, _, _ := w.do("PUT", "/f/ready", "x"); return code == 201 || code == 204 }); err != nil {
+		t.Fatal("no file can be written")
+	}
+	w.want(204, "DELETE", "/f/ready", "")
+	return w
+}
+
+// do sends a request; header is pairs.
+func (w *web) do(method, path, body string, header ...string) (int, string, http.Header) {
+	w.t.Helper()
+	r, err := http.NewRequest(method, w.base+path, strings.NewReader(body))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.SetBasicAuth(w.user, "secret")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	a, err := w.http.Do(r)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return a.StatusCode, string(b), a.Header
+}
+
+func (w *web) want(code int, method, path, body string, header ...string) (string, http.Header) {
+	w.t.Helper()
+	got, text, h := w.do(method, path, body, header...)
+	if got != code {
+		w.t.Errorf("%s %s %v: %d, want %d: %.300s", method, path, header, got, code, text)
+	}
+	return text, h
+}
+
+func (w *web) close() { w.http.CloseIdleConnections() }
+
+// The whole path with a plain HTTP client, down to the nodes: files, folders, ranges, conditions, properties, locks, copies
+// and moves, who may do what; and what is refused.
+func TestDav(t *testing.T) {
+	f, err := fleet.New(t.TempDir(), filed(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	g, stop := start(t, f.Settings[0])
+	w := newWeb(t, g)
+	data := make([]byte, 3<<20+777)
+	rand.NewChaCha8([32]byte{1}).Read(data)
+	big := string(data)
+
+	_, h := w.want(200, "OPTIONS", "/f/", "")
+	if h.Get("DAV") != "1, 2" {
+		t.Errorf("DAV: %q", h.Get("DAV"))
+	}
+	_, h = w.want(201, "PUT", "/f/big.txt", big)
+	tag := h.Get("ETag")
+	got, h := w.want(200, "GET", "/f/big.txt", "")
+	if got != big || h.Get("ETag") != tag || h.Get("Content-Type") != "text/plain; charset=utf-8" {
+		t.Errorf("%d bytes, %v", len(got), h)
+	}
+	for _, x := range [][2]int{{0, 0}, {100, 5000}, {256<<10 - 1, 256 << 10}, {3 << 20, 3<<20 + 776}} {
+		if got, _ := w.want(206, "GET", "/f/big.txt", "", "Range", fmt.Sprintf("bytes=%d-%d", x[0], x[1])); got != big[x[0]:x[1]+1] {
+			t.Errorf("range %v: %d bytes", x, len(got))
+		}
+	}
+	w.want(416, "GET", "/f/big.txt", "", "Range", "bytes=99999999-")
+	w.want(304, "GET", "/f/big.txt", "", "If-None-Match", tag)
+	w.want(412, "PUT", "/f/big.txt", "x", "If-None-Match", "*")
+	w.want(412, "PUT", "/f/big.txt", "x", "If-Match", `"other"`)
+	_, h = w.want(204, "PUT", "/f/big.txt", "small", "If-Match", tag)
+	if h.Get("ETag") == tag {
+		t.Error("the ETag stays though the content has changed")
+	}
+	w.want(412, "PUT", "/f/big.txt", "x", "If", "(["+tag+"])")
+	w.want(204, "PUT", "/f/big.txt", "small", "If", `(["no"]) (Not ["no"])`)
+	w.want(400, "PUT", "/f/big.txt", "x", "If", `(["no")`)
+	w.want(201, "PUT", "/f/empty", "")
+	if got, _ := w.want(200, "GET", "/f/empty", ""); got != "" {
+		t.Errorf("%q", got)
+	}
+	w.want(409, "PUT", "/f/none/x", "x")
+	w.want(405, "PUT", "/f/", "x")
+	w.want(404, "GET", "/f/none", "")
+	w.want(404, "GET", "/other", "")
+	w.want(405, "PATCH", "/f/empty", "")
+	for _, bad := range []string{"/f/a%2Fb", "/f/a%00b", "/f/%2e%2e/x", "/f/" + strings.Repeat("n", 300)} {
+		w.want(400, "PUT", bad, "x")
+	}
+	// Folders.
+	w.want(201, "MKCOL", "/f/d", "")
+	w.want(405, "MKCOL", "/f/d", "")
+	w.want(409, "MKCOL", "/f/x/y", "")
+	w.want(415, "MKCOL", "/f/e", "<body/>")
+	w.want(201, "PUT", "/f/d/ü &<.txt", "umlaut")
+	list, _ := w.want(207, "PROPFIND", "/f/d", "", "Depth", "1")
+	if !strings.Contains(list, "/f/d/%C3%BC%20&amp;%3C.txt") || !strings.Contains(list, "<D:collection/>") || strings.Count(list, "<D:response>") != 2 {
+		t.Errorf("%s", list)
+	}
+	w.want(403, "PROPFIND", "/f/d", "")
+	w.want(400, "PROPFIND", "/f/d", "<x", "Depth", "0")
+	w.want(400, "PROPFIND", "/f/d", `<!DOCTYPE a [<!ENTITY b "c">]><propfind xmlns="DAV:"><prop><a>&b;</a></prop></propfind>`, "Depth", "0")
+	// Properties.
+	w.want(207, "PROPPATCH", "/f/d", `<D:propertyupdate xmlns:D="DAV:" xmlns:z="urn:z"><D:set><D:prop><z:color z:deep="1"><z:in>red &amp; blue</z:in></z:color></D:prop></D:set></D:propertyupdate>`)
+	props, _ := w.want(207, "PROPFIND", "/f/d", `<propfind xmlns="DAV:"><prop><color xmlns="urn:z"/><none xmlns="urn:z"/><quota-available-bytes/></prop></propfind>`, "Depth", "0")
+	if !strings.Contains(props, "red &amp; blue") || !strings.Contains(props, "404 Not Found") || !strings.Contains(props, "<D:quota-available-bytes>") {
+		t.Errorf("%s", props)
+	}
+	patch, _ := w.want(207, "PROPPATCH", "/f/d", `<propertyupdate xmlns="DAV:"><set><prop><getetag>x</getetag><b xmlns="u:">1</b></prop></set></propertyupdate>`)
+	if !strings.Contains(patch, "403 Forbidden") || !strings.Contains(patch, "424") {
+		t.Errorf("%s", patch)
+	}
+	// Copies and moves.
+	dest := func(p string) []string { return []string{"Destination", w.base + p} }
+	w.want(201, "COPY", "/f/d", "", dest("/f/d2")...)
+	if got, _ := w.want(200, "GET", "/f/d2/%C3%BC%20&%3C.txt", ""); got != "umlaut" {
+		t.Errorf("%q", got)
+	}
+	w.want(412, "COPY", "/f/d", "", append(dest("/f/d2"), "Overwrite", "F")...)
+	w.want(204, "COPY", "/f/d", "", append(dest("/f/d2"), "Depth", "0")...)
+	w.want(404, "GET", "/f/d2/%C3%BC%20&%3C.txt", "")
+	w.want(403, "MOVE", "/f/d", "", dest("/f/d/in")...)
+	w.want(403, "COPY", "/f/d", "", dest("/f/d/in")...)
+	w.want(403, "MOVE", "/f/d", "", dest("/f/d")...)
+	w.want(502, "MOVE", "/f/d", "", "Destination", "http://elsewhere.example/f/d")
+	w.want(409, "MOVE", "/f/d", "", dest("/f/no/d")...)
+	w.want(201, "MOVE", "/f/d", "", dest("/f/m")...)
+	w.want(404, "GET", "/f/d/%C3%BC%20&%3C.txt", "")
+	w.want(200, "GET", "/f/m/%C3%BC%20&%3C.txt", "")
+	// Locks.
+	const info = `<D:lockinfo xmlns:D="DAV:"><D:lockscope><D:exclusive/></D:lockscope><D:locktype><D:write/></D:locktype><D:owner>ann</D:owner></D:lockinfo>`
+	_, h = w.want(200, "LOCK", "/f/m", info, "Timeout", "Second-100")
+	token := strings.Trim(h.Get("Lock-Token"), "<>")
+	w.want(423, "PUT", "/f/m/new", "x")
+	w.want(423, "DELETE", "/f/m", "")
+	w.want(423, "MOVE", "/f/empty", "", dest("/f/m/empty")...)
+	w.want(423, "LOCK", "/f/m/new", info)
+	w.want(201, "PUT", "/f/m/new", "x", "If", "</f/m> (<"+token+">)")
+	w.want(412, "PUT", "/f/m/new", "x", "If", "(<urn:uuid:other>)")
+	if got, _ := w.want(200, "LOCK", "/f/m", "", "If", "(<"+token+">)", "Timeout", "Second-3000"); !strings.Contains(got, "Second-3000") {
+		t.Errorf("%s", got)
+	}
+	_, h = w.want(201, "LOCK", "/f/free", info, "Depth", "0")
+	free := h.Get("Lock-Token")
+	w.want(409, "UNLOCK", "/f/free", "", "Lock-Token", "<urn:uuid:other>")
+	w.want(204, "UNLOCK", "/f/free", "", "Lock-Token", free)
+	// Who may.
+	w.user = "bob"
+	w.want(200, "GET", "/f/free", "")
+	w.want(403, "PUT", "/f/free", "x")
+	w.want(403, "DELETE", "/f/free", "")
+	w.user = "eve"
+	w.want(401, "GET", "/f/free", "")
+	w.user = "ann"
+	// All of it over a restart, locks too.
+	w.close()
+	stop(false)
+	g, stop = start(t, f.Settings[0])
+	w = newWeb(t, g)
+	defer w.close()
+	w.want(423, "PUT", "/f/m/new", "y")
+	w.want(204, "PUT", "/f/m/new", "y", "If", "(<"+token+">)")
+	w.want(204, "UNLOCK", "/f/m/new", "", "Lock-Token", "<"+token+">")
+	w.want(204, "DELETE", "/f/m", "")
+	for _, p := range []string{"/f/big.txt", "/f/empty", "/f/d2", "/f/free"} {
+		w.want(204, "DELETE", p, "")
+	}
+	w.want(507, "PUT", "/f/huge", strings.Repeat("x", 40<<20))
+	if free, used := g.Engine.Space(1); used != 0 || free != 32<<20 {
+		t.Errorf("%d bytes free, %d used with nothing there", free, used)
+	}
+	w.close()
+	stop(false)
+}
+
+// A file is seen whole, old or new, by readers that go on while it is written anew and deleted; and no space is lost.
+func TestDavWhole(t *testing.T) {
+	f, err := fleet.New(t.TempDir(), filed(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	g, stop := start(t, f.Settings[0])
+	w := newWeb(t, g)
+	defer w.close()
+	content := func(n int) string { return strings.Repeat(fmt.Sprintf("%07d\n", n), 100_000) }
+	w.want(201, "PUT", "/f/x", content(0))
+	var wg sync.WaitGroup
+	over := make(chan struct{})
+	reads := 0
+	var mu sync.Mutex
+	for range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-over:
+					return
+				default:
+				}
+				code, got, _ := w.do("GET", "/f/x", "")
+				if code == 404 || code == 503 {
+					continue
+				}
+				var n int
+				if fmt.Sscanf(got, "%d", &n); code != 200 || got != content(n) {
+					t.Errorf("status %d, %d bytes that are no whole file: %.60q", code, len(got), got)
+					return
+				}
+				mu.Lock()
+				reads++
+				mu.Unlock()
+			}
+		}()
+	}
+	for i := 1; i < 12; i++ {
+		if code, text, _ := w.do("PUT", "/f/x", content(i)); code != 204 && code != 201 && code != 503 && code != 507 {
+			t.Errorf("put: %d %s", code, text)
+		}
+		if i%4 == 3 {
+			w.do("DELETE", "/f/x", "")
+		}
+	}
+	close(over)
+	wg.Wait()
+	if reads < 5 {
+		t.Errorf("%d reads", reads)
+	}
+	w.do("DELETE", "/f/x", "")
+	if err := fleet.Eventually(3*time.Second, func() bool { _, used := g.Engine.Space(1); return used == 0 }); err != nil {
+		free, used := g.Engine.Space(1)
+		t.Errorf("%d bytes free, %d used with nothing there", free, used)
+	}
+	w.close()
+	stop(false)
+}
+
+// Gateways killed at any time of PUT, MOVE, DELETE and MKCOL: what was answered is there, the rest whole or absent, the
+// catalogue is sound, and no space is lost.
+func TestDavKilled(t *testing.T) {
+	f, err := fleet.New(t.TempDir(), filed(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	rng := rand.New(rand.NewPCG(3, 4))
+	state, open := map[string]int{}, map[string]int{} // what was answered; what a cut-off PUT would have made of it
+	unsure := map[string]bool{}                       // a cut-off DELETE or MOVE
+	content := func(n int) string { return fmt.Sprintf("%07d\n", n) + strings.Repeat("x", n%9*40_000) }
+	next := 0
+	for round := range 8 {
+		g, stop := start(t, f.Settings[0])
+		w := newWeb(t, g)
+		time.Sleep(60 * time.Millisecond)
+		for p := range map[string]bool{"/f/a": true, "/f/b": true, "/f/c": true} {
+			code, got, _ := w.do("GET", p, "")
+			old, was := state[p]
+			later, mayBe := open[p]
+			ok := was && code == 200 && got == content(old) || mayBe && code == 200 && got == content(later) || (!was || unsure[p]) && code == 404
+			if !ok {
+				t.Errorf("round %d: %s: %d, %.20q; answered was %d (%v), cut off %d (%v)", round, p, code, got, old, was, later, mayBe)
+			}
+			delete(state, p)
+			if code == 200 {
+				fmt.Sscanf(got, "%d", &old)
+				state[p] = old
+			}
+		}
+		clear(open)
+		clear(unsure)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for {
+				p := "/f/" + string(rune('a'+rng.IntN(3)))
+				switch rng.IntN(4) {
+				case 0:
+					switch code, _, _ := w.do("DELETE", p, ""); code {
+					case 204:
+						delete(state, p)
+					case 0:
+						unsure[p] = true
+						return
+					}
+				default:
+					next++
+					switch code, _, _ := w.do("PUT", p, content(next)); code {
+					case 201, 204:
+						state[p] = next
+					case 0:
+						open[p] = next
+						return
+					}
+				}
+			}
+		}()
+		time.Sleep(time.Duration(20+round*13) * time.Millisecond)
+		stop(true)
+		<-done
+		w.close()
+		cat, err := catalogue.Open(dav.CataloguePath(config(t, f.Settings[0]), 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if problems, _, _, err := cat.Check(); len(problems) > 0 || err != nil {
+			t.Errorf("round %d: %v, %v", round, problems, err)
+		}
+		cat.Close()
+	}
+	if next < 50 {
+		t.Errorf("%d puts", next)
+	}
+	g, stop := start(t, f.Settings[0])
+	w := newWeb(t, g)
+	for p := range map[string]bool{"/f/a": true, "/f/b": true, "/f/c": true} {
+		w.do("DELETE", p, "")
+	}
+	if free, used := g.Engine.Space(1); used != 0 || free != 32<<20 {
+		t.Errorf("%d bytes free, %d used with nothing there", free, used)
+	}
+	w.close()
+	stop(false)
+}
+
+// Clients that stall, leave, send headers without end or take nothing hold up nobody else and leave nothing behind.
+func TestDavSlowClients(t *testing.T) {
+	f, err := fleet.New(t.TempDir(), filed(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	g, stop := start(t, f.Settings[0])
+	w := newWeb(t, g)
+	defer w.close()
+	w.want(201, "PUT", "/f/x", strings.Repeat("x", 4<<20))
+	var slow []net.Conn
+	address := g.Dav.Addresses()[0]
+	for i := range 60 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		slow = append(slow, c)
+		auth := "Authorization: Basic YW5uOnNlY3JldA==\r\nHost: x\r\n"
+		switch i % 3 {
+		case 0: // takes nothing of what it has asked for
+			fmt.Fprintf(c, "GET /f/x HTTP/1.1\r\n%s\r\n", auth)
+		case 1: // stops in the middle of what it sends
+			fmt.Fprintf(c, "PUT /f/slow%d HTTP/1.1\r\n%sContent-Length: 1000000\r\n\r\nsome", i, auth)
+		case 2:
+			fmt.Fprintf(c, "GET /f/x HTTP/1.1\r\n%sX: %s", auth, strings.Repeat("y", 80<<10))
+		}
+	}
+	began := time.Now()
+	for i := range 20 {
+		w.want(201, "PUT", fmt.Sprintf("/f/quick%d", i), strings.Repeat("q", 10_000))
+		if got, _ := w.want(200, "GET", fmt.Sprintf("/f/quick%d", i), ""); len(got) != 10_000 {
+			t.Errorf("%d bytes", len(got))
+		}
+	}
+	t.Logf("20 puts and gets beside 60 slow clients took %v", time.Since(began))
+	for _, c := range slow {
+		c.Close()
+	}
+	for i := range 20 {
+		w.want(204, "DELETE", fmt.Sprintf("/f/quick%d", i), "")
+	}
+	w.want(204, "DELETE", "/f/x", "")
+	if err := fleet.Eventually(5*time.Second, func() bool { _, used := g.Engine.Space(1); return used == 0 }); err != nil {
+		t.Error("what slow clients had begun is not given back")
+	}
+	if code, _, _ := w.do("GET", "/f/slow1", ""); code != 404 {
+		t.Errorf("a file that was never sent whole: %d", code)
+	}
+	w.close()
+	stop(false)
+}
+
+// A node dies in the middle of a GET: the connection breaks, and is never padded or ended as if all were there. Before the
+// first byte it is an answer that says when to come back.
+func TestDavNodeDies(t *testing.T) {
+	s := filed(t)
+	s.Node.Base = 5 * time.Millisecond
+	f, err := fleet.New(t.TempDir(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	g, stop := start(t, f.Settings[0])
+	w := newWeb(t, g)
+	defer w.close()
+	want := strings.Repeat("0123456789abcdef", 3<<16)
+	w.want(201, "PUT", "/f/x", want)
+	r, _ := http.NewRequest("GET", w.base+"/f/x", nil)
+	r.SetBasicAuth("ann", "secret")
+	a, err := w.http.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head := make([]byte, 1000)
+	io.ReadFull(a.Body, head)
+	for _, n := range f.Nodes {
+		n.Crash()
+	}
+	rest, err := io.ReadAll(a.Body)
+	a.Body.Close()
+	if err == nil && len(head)+len(rest) != len(want) || !bytes.HasPrefix([]byte(want), append(head, rest...)) {
+		t.Errorf("%d bytes came, %v", len(rest), err)
+	}
+	if err == nil {
+		t.Log("the file was read before the nodes died")
+	}
+	code, _, h := w.do("GET", "/f/x", "")
+	if code != 503 && code != 502 || code == 503 && h.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q", code, h.Get("Retry-After"))
+	}
+	if code, _, _ := w.do("PUT", "/f/y", "data"); code != 503 && code != 502 {
+		t.Errorf("put: status %d", code)
+	}
+	for _, n := range f.Nodes {
+		if err := n.Up(false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := fleet.Eventually(10*time.Second, func() bool { code, got, _ := w.do("GET", "/f/x", ""); return code == 200 && got == want }); err != nil {
+		t.Error("the file is not whole once the nodes are back")
+	}
+	w.close()
+	stop(false)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"appleplank/crossing"
 	"appleplank/internal/block"
 	"appleplank/internal/engine"
+	"appleplank/internal/front/dav"
 	"appleplank/internal/front/ring"
 	"appleplank/internal/nvme"
 	"appleplank/internal/nvme/initiator"
@@ -32,6 +33,7 @@
 	log    *zap.Logger
 	Engine *engine.Engine
 	Rings  *ring.Server
+	Dav    *dav.Server // nil: no listener
 	nodes  map[logic.NodeID]*initiator.Node
 	order  []logic.NodeID
 	direct *initiator.Discovery
@@ -68,9 +70,21 @@
 		g.closeStore()
 		return nil, err
 	}
+	if err := g.openDav(); err != nil {
+		g.Rings.Drop()
+		g.closeStore()
+		return nil, err
+	}
 	return g, nil
 }
 
+func (g *Gateway) openDav() (err error) {
+	if len(g.cfg.Dav) > 0 {
+		g.Dav, err = dav.Listen(g.cfg, g.Engine, g.log.Named("dav"))
+	}
+	return err
+}
+
 // build makes a gateway without sockets and state.
 func build(cfg *settings.Config, log *zap.Logger) (*Gateway, error) {
 	var seed [24]byte
@@ -142,6 +156,9 @@
 		stopBack()
 		nodes.Wait()
 		g.Engine.Close()
+		if g.Dav != nil {
+			g.Dav.Close()
+		}
 		g.closeStore()
 		return err
 	}
@@ -164,16 +181,31 @@
 	g.reach(ctx)
 	var rings errgroup.Group
 	rings.Go(func() error { return g.Rings.Serve(g.front) })
+	files, stopFiles := context.WithCancel(hard)
+	defer stopFiles()
+	cut, cutFiles := context.WithCancel(hard)
+	defer cutFiles()
+	var davs errgroup.Group
+	if g.Dav != nil {
+		davs.Go(func() error { return g.Dav.Serve(files, cut) })
+	}
 	select {
 	case <-ctx.Done():
 	case <-g.handed:
 		g.log.Info("another process has taken over")
+		cutFiles() // the next one waits for the catalogues
+		stopFiles()
+		davs.Wait()
 		rings.Wait()
 		return over(nil)
 	}
 	g.log.Info("draining")
 	g.Rings.StopTaking()
 	drain, cancel := context.WithTimeout(hard, time.Duration(g.cfg.Times.Drain)*time.Microsecond)
+	stopCut := context.AfterFunc(drain, cutFiles)
+	defer stopCut()
+	stopFiles()
+	davs.Wait() // what is under way still takes
 	err := g.Engine.Drained(drain)
 	for err == nil && g.Rings.Owed() > 0 { // answers on their way to the clients' rings
 		pause(drain, time.Millisecond)
@@ -191,6 +223,9 @@
 	stopBack()
 	nodes.Wait()
 	g.Engine.Close()
+	if g.Dav != nil {
+		g.Dav.Close()
+	}
 	if g.store != nil {
 		g.save(err == nil, quiet) // with nothing held and nothing sent any more, this is the last word
 		g.closeStore()
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -322,5 +322,11 @@
 	g.mu.Lock()
 	g.waiting = false
 	g.mu.Unlock()
+	// The old process lets go of listeners and catalogues as it ends. Rings are served already; files stand still until then.
+	for end := time.Now().Add(readyTime); len(g.cfg.Dav) > 0; pause(ctx, 20*time.Millisecond) {
+		if err = g.openDav(); err == nil || ctx.Err() != nil || time.Now().After(end) {
+			return err
+		}
+	}
 	return nil
 }
--- a/internal/script/form.go
+++ b/internal/script/form.go
@@ -266,3 +266,25 @@
 	}
 	return out
 }
+
+// Texts reads a list of texts, empty where it is not given.
+func (f *Form) Texts(name string) (out []string) {
+	v, ok := f.Take(name, false)
+	if !ok {
+		return nil
+	}
+	list, is := v.(*starlark.List)
+	if !is {
+		f.Bad(name, "want a list, got %s", v.Type())
+		return nil
+	}
+	for i := range list.Len() {
+		s, is := starlark.AsString(list.Index(i))
+		if !is {
+			f.Bad(name, "%s is no text", list.Index(i))
+			continue
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/internal/settings/describe.go
+++ b/internal/settings/describe.go
@@ -77,6 +77,16 @@
 		}
 		fmt.Fprintf(t, "; %.0f%% held back; with %.0f%% of a zone lost %v times as much for %v\n", 100*x.HoldBack, 100*x.Lost, x.Bend, d(x.BendFor))
 	}
+	for _, x := range c.Dav {
+		how := "plain HTTP"
+		if x.Cert != "" {
+			how = "TLS by " + x.Cert
+		}
+		fmt.Fprintf(t, "WebDAV on %s, %s, %d connections\n", x.Listen, how, x.Clients)
+		for _, y := range x.Trees {
+			fmt.Fprintf(t, "  %s\tvolume %q, read by %v, written by %v\n", y.Path, c.Volumes[y.Volume].Name, y.Read, y.Write)
+		}
+	}
 	if x := &c.Copies; x.Region > 0 {
 		fmt.Fprintf(t, "copies: a change is answered when %d hold it; regions of %d bytes, %d caught up at a time as %s on plan %s\n", x.Hold, x.Region,
 			x.Together, c.Classes[x.Class], c.Plans[x.Plan])
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io/fs"
 	"math"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -16,6 +17,7 @@
 	"appleplank/logic"
 
 	"go.starlark.net/syntax"
+	"golang.org/x/crypto/bcrypt"
 )
 
 // Load reads the script at path with all that it loads. The error is [script.Problems] where the script could be
@@ -42,6 +44,13 @@
 			c.Volumes[i].Socket = filepath.Join(dir, s)
 		}
 	}
+	for i := range c.Dav {
+		for _, f := range []*string{&c.Dav[i].Cert, &c.Dav[i].Key} {
+			if *f != "" && !filepath.IsAbs(*f) {
+				*f = filepath.Join(dir, *f)
+			}
+		}
+	}
 	if c.State.Dir != "" && !filepath.IsAbs(c.State.Dir) {
 		c.State.Dir = filepath.Join(dir, c.State.Dir)
 	}
@@ -69,6 +78,8 @@
 	l.Single("state", l.state)
 	l.Single("crossing", l.crossing)
 	l.Single("copies", l.copies)
+	l.Many("user", l.user)
+	l.Many("dav", l.dav)
 	l.Many("class_", l.class)
 	l.Many("plan", l.plan)
 	l.Many("node", l.node)
@@ -202,6 +213,79 @@
 	}
 }
 
+func (l *loader) user(f *script.Form) {
+	u := User{Name: f.Text("name", "", true), Hash: []byte(f.Text("hash", "", true))}
+	if _, err := bcrypt.Cost(u.Hash); err != nil && len(u.Hash) > 0 {
+		f.Bad("hash", "is no bcrypt hash: %v", err)
+	}
+	if strings.ContainsAny(u.Name, ":\x00") {
+		f.Bad("name", "%q has a colon or a NUL in it", u.Name)
+	}
+	for _, o := range l.c.Users {
+		if o.Name == u.Name {
+			f.Bad("name", "%q stands twice", u.Name)
+		}
+	}
+	l.c.Users = append(l.c.Users, u)
+}
+
+func (l *loader) dav(f *script.Form) {
+	d := Dav{Listen: f.Text("listen", "", true), Cert: f.Text("cert", "", false), Key: f.Text("key", "", false)}
+	d.Clients = int(f.Whole("clients", 1024, 1, 1<<16))
+	host, _, err := net.SplitHostPort(d.Listen)
+	if err != nil && d.Listen != "" {
+		f.Bad("listen", "%v", err)
+	}
+	if (d.Cert == "") != (d.Key == "") {
+		f.Bad("cert", "cert and key go together")
+	}
+	if ip := net.ParseIP(host); d.Cert == "" && err == nil && host != "localhost" && (ip == nil || !ip.IsLoopback()) {
+		f.Bad("listen", "%s is no loopback address, and without cert and key passwords would cross the network in the clear", d.Listen)
+	}
+	f.Each("trees", true, func(e *script.Form) {
+		t := Tree{Path: e.Text("path", "", true), Volume: -1, Read: e.Texts("read"), Write: e.Texts("write")}
+		name := e.Text("volume", "", true)
+		for i, v := range l.c.Volumes {
+			if v.Name == name {
+				t.Volume = i
+				if !v.Objects {
+					e.Bad("volume", "%q is a disk; a tree needs objects = True", name)
+				}
+				if v.Attached != 1 {
+					e.Bad("volume", "%q is shared by %v gateways, but a tree has one owner", name, v.Attached)
+				}
+			}
+		}
+		if t.Volume < 0 && name != "" {
+			e.Bad("volume", "no volume %q stands before this line", name)
+		}
+		if !strings.HasPrefix(t.Path, "/") || len(t.Path) > 1 && strings.HasSuffix(t.Path, "/") || strings.Contains(t.Path, "//") {
+			e.Bad("path", "%q does not begin with a slash, or ends with one", t.Path)
+		}
+		for _, names := range [][]string{t.Read, t.Write} {
+			for _, n := range names {
+				if !slices.ContainsFunc(l.c.Users, func(u User) bool { return u.Name == n }) {
+					e.Bad("", "no user %q stands before this line", n)
+				}
+			}
+		}
+		for _, o := range d.Trees {
+			if o.Path == t.Path {
+				e.Bad("path", "%q stands twice", t.Path)
+			}
+		}
+		for _, o := range l.c.Dav {
+			for _, x := range o.Trees {
+				if x.Volume == t.Volume {
+					e.Bad("volume", "%q is a tree of %s already", name, o.Listen)
+				}
+			}
+		}
+		d.Trees = append(d.Trees, t)
+	})
+	l.c.Dav = append(l.c.Dav, d)
+}
+
 func (l *loader) class(f *script.Form) {
 	name := f.Text("name", "", true)
 	if _, twice := l.classes[name]; twice {
@@ -404,7 +488,7 @@
 	served := 0
 	for i := range c.Volumes {
 		v, pos := &c.Volumes[i], l.volumePos[i]
-		if v.Socket != "" {
+		if v.Socket != "" || v.Objects {
 			served++
 		}
 		at := fmt.Sprintf("volume(%q)", v.Name)
@@ -464,6 +548,9 @@
 	}
 	c.Crossing.Hosts = c.Logic.Hosts
 	l.mirrored(bad)
+	if len(c.Dav) > 0 && c.State.Dir == "" {
+		bad(top, "dav", "needs state(dir = …): the catalogue of the files lies there")
+	}
 	if len(l.Problems) == 0 {
 		if _, err := logic.New(c.Logic, 1); err != nil {
 			bad(top, "", "%v", err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,29 @@
 	State     State
 	Crossing  crossing.Settings // its rate is 0 where there is no budget
 	Copies    Copies
+	Users     []User
+	Dav       []Dav
+}
+
+// User is a client of a front that asks who it is.
+type User struct {
+	Name string
+	Hash []byte // bcrypt, of the password
+}
+
+// Dav is a WebDAV listener.
+type Dav struct {
+	Listen    string // host:port
+	Cert, Key string // files; both empty on loopback only
+	Clients   int    // connections at a time
+	Trees     []Tree
+}
+
+// Tree is a volume of objects under a path of a listener.
+type Tree struct {
+	Path        string // "/" or without a slash at the end
+	Volume      int
+	Read, Write []string // users that may; who may write may read
 }
 
 // Volume is one disk that clients see.
