--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -311,7 +311,7 @@
 func (c *Core) arrive(p *piece, key uint64) {
 	p.held = false
 	a := logic.Arrival{
-		Request: p.id, Class: p.op.Class, Cell: p.cell(), Key: key, Volume: logic.VolumeID(p.vol.ID),
+		Request: p.id, Class: p.op.Class, Cell: p.cell(), Key: key, Volume: logic.VolumeID(p.vol.Account),
 		Plan: p.vol.Plan, Attached: p.vol.Attached, Units: p.units, DropDead: p.dropDead, Tried: p.tries, Once: p.once,
 	}
 	a.Home = p.object != nil && p.object.home
--- a/internal/front/dav/xml.go
+++ b/internal/front/dav/xml.go
@@ -22,6 +22,9 @@
 	mostXML    = 256 << 10
 	mostTokens = 20_000
 	mostNested = 64
+
+	mostWanted      = 256 // properties of a PROPFIND
+	mostWantedBytes = 16 << 10
 )
 
 const davSpace = "DAV:"
@@ -33,8 +36,7 @@
 	name
 	attrs    []xml.Attr
 	children []*node
-	text     string
-	inner    string // its content as XML that stands by itself
+	inner    []byte // its content as XML that stands by itself
 }
 
 var errXML = errors.New("dav: the body is no XML that this method takes")
@@ -44,6 +46,7 @@
 	d := xml.NewDecoder(io.LimitReader(r, mostXML+1))
 	var stack []*node
 	var top *node
+	names := 0 // bytes: a long space that is declared once stands at every name that we write
 	for n := 0; ; n++ {
 		t, err := d.Token()
 		if err == io.EOF && len(stack) == 0 {
@@ -58,6 +61,13 @@
 		switch t := t.(type) {
 		case xml.StartElement:
 			x := &node{name: name{t.Name.Space, t.Name.Local}, attrs: slices.Clone(t.Attr)}
+			names += len(t.Name.Space) + len(t.Name.Local)
+			for _, a := range t.Attr {
+				names += len(a.Name.Space) + len(a.Name.Local)
+			}
+			if names > mostXML {
+				return nil, fmt.Errorf("%w: its names are too long", errXML)
+			}
 			if len(stack) >= mostNested || len(stack) == 0 && top != nil {
 				return nil, fmt.Errorf("%w: it is too deep, or has two roots", errXML)
 			}
@@ -72,13 +82,13 @@
 			x := stack[len(stack)-1]
 			stack = stack[:len(stack)-1]
 			if len(stack) > 0 {
-				stack[len(stack)-1].inner += x.raw()
+				up := stack[len(stack)-1]
+				up.inner = append(up.inner, x.raw()...)
 			}
 		case xml.CharData:
 			if len(stack) > 0 {
 				x := stack[len(stack)-1]
-				x.text += string(t)
-				x.inner += escape(string(t))
+				x.inner = append(x.inner, escape(string(t))...)
 			}
 		case xml.Directive:
 			return nil, fmt.Errorf("%w: it has a document type", errXML)
@@ -97,7 +107,8 @@
 func (n *node) raw() string {
 	var b strings.Builder
 	b.WriteString("<" + n.local + ` xmlns="` + escape(n.space) + `"`)
-	for i, a := range n.attrs {
+	spaces := 0
+	for _, a := range n.attrs {
 		switch {
 		case a.Name.Local == "xmlns" || a.Name.Space == "xmlns":
 		case a.Name.Space == "":
@@ -105,13 +116,14 @@
 		case a.Name.Space == "http://www.w3.org/XML/1998/namespace" || a.Name.Space == "xml":
 			b.WriteString(" xml:" + a.Name.Local + `="` + escape(a.Value) + `"`)
 		default:
-			fmt.Fprintf(&b, ` xmlns:a%d="%s" a%d:%s="%s"`, i, escape(a.Name.Space), i, a.Name.Local, escape(a.Value))
+			fmt.Fprintf(&b, ` xmlns:a%d="%s" a%d:%s="%s"`, spaces, escape(a.Name.Space), spaces, a.Name.Local, escape(a.Value))
+			spaces++
 		}
 	}
-	if n.inner == "" {
+	if len(n.inner) == 0 {
 		return b.String() + "/>"
 	}
-	return b.String() + ">" + n.inner + "</" + n.local + ">"
+	return b.String() + ">" + string(n.inner) + "</" + n.local + ">"
 }
 
 func (n *node) child(local string) *node {
@@ -252,7 +264,7 @@
 	if x.space != davSpace || x.local != "propfind" {
 		return a, errXML
 	}
-	forms := 0
+	forms, size := 0, 0
 	for _, c := range x.children {
 		if c.space != davSpace {
 			continue
@@ -270,10 +282,11 @@
 		case "include":
 			for _, p := range c.children {
 				a.wanted = append(a.wanted, p.name)
+				size += len(p.space) + len(p.local)
 			}
 		}
 	}
-	if forms != 1 {
+	if forms != 1 || len(a.wanted) > mostWanted || size > mostWantedBytes { // they are answered for every entry of a folder
 		return a, errXML
 	}
 	return a, nil
@@ -464,7 +477,7 @@
 		return nil, errXML
 	}
 	if o := x.child("owner"); o != nil {
-		info.owner = o.inner
+		info.owner = string(o.inner)
 	}
 	return info, nil
 }
--- a/internal/gateway/dav_test.go
+++ b/internal/gateway/dav_test.go
@@ -16,6 +16,7 @@
 	"appleplank/internal/fleet"
 	"appleplank/internal/front/dav"
 	"appleplank/internal/gateway"
+	"appleplank/internal/standin"
 
 	"golang.org/x/crypto/bcrypt"
 )
@@ -485,3 +486,61 @@
 	w.close()
 	stop(false)
 }
+
+// Files and a disk on one account at three times its plan's limit together: what the nodes were sent stays within it.
+func TestDavSharesLimit(t *testing.T) {
+	s := filed(t)
+	s.Node.Record = true
+	s.Volumes[0].Plan, s.Volumes[1].Plan = "basic", "basic"
+	s.Volumes[1].More += " account = \"orders\","
+	f, err := fleet.New(t.TempDir(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	g, stop := start(t, f.Settings[0])
+	w := newWeb(t, g)
+	defer w.close()
+	cl, err := f.Dial(0, "orders", standin.ClientConfig{Queues: 1, Depth: 8, MostData: 64 << 10, Advice: true}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := func() (n int) {
+		for _, x := range f.Nodes {
+			n += len(x.Records())
+		}
+		return n
+	}
+	before, began := sent(), time.Now()
+	const limit, burst, slack, run = 120, 60, 12, 1500 * time.Millisecond // of the plan "basic"
+	var served [2]int
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() {
+		defer wg.Done()
+		for time.Since(began) < run {
+			if r, err := cl.Do(0, 0, 0, nil, 4096); err == nil && r.Status == 0 {
+				served[0]++
+			}
+			time.Sleep(4 * time.Millisecond)
+		}
+	}()
+	go func() {
+		defer wg.Done()
+		for i := 0; time.Since(began) < run; i++ {
+			if code, _, _ := w.do("PUT", fmt.Sprintf("/f/%d", i), "x"); code == 201 {
+				served[1]++
+			}
+			time.Sleep(4 * time.Millisecond)
+		}
+	}()
+	wg.Wait()
+	took := time.Since(began).Seconds()
+	n := sent() - before
+	if most := int(limit*took) + burst + slack + 2; n > most || served[0] < 10 || served[1] < 10 {
+		t.Errorf("%d commands in %.2f s, at most %d; served %v", n, took, most, served)
+	}
+	cl.Vanish()
+	w.close()
+	stop(false)
+}
--- a/internal/settings/describe.go
+++ b/internal/settings/describe.go
@@ -42,6 +42,9 @@
 	for _, v := range c.Volumes {
 		fmt.Fprintf(t, "\nVOLUME %s\tid %d, plan %s, %d bytes in blocks of %d, %d queues, %v gateways\n", v.Name, v.ID, c.Plans[v.Plan], v.Size,
 			v.BlockSize, v.Queues, v.Attached)
+		if v.Account != v.ID {
+			fmt.Fprintf(t, "  account\tthat of volume %d\n", v.Account)
+		}
 		if v.Socket != "" {
 			fmt.Fprintf(t, "  socket\t%s\n", v.Socket)
 		}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -378,6 +378,18 @@
 		f.Bad("plan", "no plan %q stands before this line", plan)
 	}
 	v.Attached = f.Number("gateways", 1)
+	v.Account = v.ID
+	if name := f.Text("account", v.Name, false); name != v.Name {
+		i := slices.IndexFunc(l.c.Volumes, func(o Volume) bool { return o.Name == name })
+		switch {
+		case i < 0:
+			f.Bad("account", "no volume %q stands before this line", name)
+		case l.c.Volumes[i].Plan != v.Plan || l.c.Volumes[i].Attached != v.Attached:
+			f.Bad("account", "volume %q is on another plan, or comes through another number of gateways", name)
+		default:
+			v.Account = l.c.Volumes[i].Account
+		}
+	}
 	v.Socket = f.Text("socket", "", false)
 	v.BlockSize = uint32(f.Size("block", block.Sector))
 	if v.BlockSize < block.Sector || v.BlockSize > 64<<10 || v.BlockSize&(v.BlockSize-1) != 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -61,8 +61,9 @@
 	Queues    int
 	ReadOnly  bool
 	Serial    string
-	Objects   bool  // its extents are space for objects, not a disk
-	Memory    int64 // bytes of data buffers its requests may hold at a time
+	Account   uint64 // whose balance and limit it draws on: its own, or that of an earlier volume
+	Objects   bool   // its extents are space for objects, not a disk
+	Memory    int64  // bytes of data buffers its requests may hold at a time
 	Extents   []Extent
 	Rows      []Row
 	UnitBytes int64 // bytes that count one unit
