--- a/internal/front/dav/io.go
+++ b/internal/front/dav/io.go
@@ -67,7 +67,7 @@
 
 // start hands an op to the engine. The buffer is drawn from the volume's memory: a request waits for it, and so bounds
 // itself.
-func (t *tree) start(ctx context.Context, op *engine.Op) *call {
+func (t *tree) start(op *engine.Op) *call {
 	c := &call{op: op, done: make(chan struct{})}
 	op.Front = c
 	t.back.Take(op)
@@ -113,54 +113,83 @@
 // ---- reading ----
 
 // reader reads a file's bytes; it is an [io.ReadSeeker]. What it reads stays until it is closed, whatever becomes of the
-// name. It reads one piece ahead.
+// name. It reads one piece ahead. A piece is copied out of the volume's memory as soon as it is there: a client that takes
+// its time holds its own two pieces and nothing that others wait for.
 type reader struct {
 	ctx  context.Context
 	t    *tree
 	e    *catalogue.Entry
 	at   int64
 	cur  []byte // what is left of the piece at hand
-	op   *engine.Op
+	have *piece
 	next *piece
 	err  error
 }
 
+// piece is a part of a file, there once done is closed.
 type piece struct {
-	from, skip, n int64 // byte of the file, of the op, length
-	call          *call
-	err           error
+	from int64 // byte of the file
+	buf  *[readBytes]byte
+	data []byte
+	err  error
+	done chan struct{}
 }
 
-// begin starts to read the piece that begins at a byte of the file.
+var pieceBuffers = sync.Pool{New: func() any { return new([readBytes]byte) }}
+
+// begin starts to read the piece that begins at a byte of the file. Its goroutine ends with the op, at the latest when
+// ctx does.
 func (r *reader) begin(from int64) *piece {
-	p := &piece{from: from}
-	off := from
+	p := &piece{from: from, done: make(chan struct{})}
+	go func() {
+		defer close(p.done)
+		p.err = r.fetch(p)
+	}()
+	return p
+}
+
+func (r *reader) fetch(p *piece) error {
+	off := p.from
 	for _, o := range r.e.Objects {
 		if off >= o.Len {
 			off -= o.Len
 			continue
 		}
 		first := off / r.t.block * r.t.block
-		p.skip, p.n = off-first, min(o.Len-off, readBytes-(off-first))
-		op, err := r.t.newOp(r.ctx, block.Read, r.t.sectors(p.skip+p.n))
+		skip := off - first
+		n := min(o.Len-off, readBytes-skip)
+		op, err := r.t.newOp(r.ctx, block.Read, r.t.sectors(skip+n))
 		if err != nil {
-			p.err = err
-			return p
+			return err
 		}
 		op.Offset = o.At + first
-		p.call = r.t.start(r.ctx, op)
-		return p
+		if err := r.t.start(op).wait(r.ctx, r.t.back); err != nil {
+			return err
+		}
+		p.buf = pieceBuffers.Get().(*[readBytes]byte)
+		op.Each(func(at int64, data []byte) { copy(p.buf[at:], data) })
+		op.Release()
+		p.data = p.buf[skip : skip+n]
+		return nil
 	}
-	p.err = io.EOF
-	return p
+	return io.ErrUnexpectedEOF // the entry says that there is more
 }
 
-func (r *reader) drop() {
-	if r.op != nil {
-		r.op.Release()
-		r.op = nil
+// drop waits for a piece and gives its buffer back.
+func (p *piece) drop() {
+	if p == nil {
+		return
+	}
+	<-p.done
+	if p.buf != nil {
+		pieceBuffers.Put(p.buf)
+		p.buf, p.data = nil, nil
 	}
-	r.cur = nil
+}
+
+func (r *reader) drop() {
+	r.have.drop()
+	r.have, r.cur = nil, nil
 }
 
 // Read implements [io.Reader].
@@ -175,33 +204,19 @@
 		}
 		p := r.next
 		if r.next = nil; p != nil && p.from != r.at {
-			r.abandon(p)
+			p.drop()
 			p = nil
 		}
 		if p == nil {
 			p = r.begin(r.at)
 		}
-		if p.err == nil {
-			p.err = p.call.wait(r.ctx, r.t.back)
-		}
-		if p.err != nil {
-			if r.err = p.err; errors.Is(r.err, io.EOF) {
-				r.err = io.ErrUnexpectedEOF // the entry says that there is more
-			}
+		<-p.done
+		if r.have, r.err = p, p.err; r.err != nil {
 			return 0, r.err
 		}
-		r.op = p.call.op
-		var whole []byte
-		r.op.Each(func(at int64, data []byte) {
-			if at == 0 && int64(len(data)) == r.op.Len {
-				whole = data
-			} else {
-				whole = append(whole[:at:at], data...) // parts that lie in several extents
-			}
-		})
-		r.cur = whole[p.skip : p.skip+p.n]
-		if r.at+p.n < r.e.Size {
-			r.next = r.begin(r.at + p.n)
+		r.cur = p.data
+		if end := r.at + int64(len(r.cur)); end < r.e.Size {
+			r.next = r.begin(end)
 		}
 	}
 	n := copy(b, r.cur)
@@ -209,17 +224,6 @@
 	return n, nil
 }
 
-func (r *reader) abandon(p *piece) {
-	if p.err != nil || p.call == nil {
-		return
-	}
-	over, cancel := context.WithCancel(context.Background())
-	cancel()
-	if p.call.wait(over, r.t.back) == nil {
-		p.call.op.Release()
-	}
-}
-
 // Seek implements [io.Seeker].
 func (r *reader) Seek(offset int64, whence int) (int64, error) {
 	switch whence {
@@ -238,12 +242,10 @@
 	return offset, nil
 }
 
-// Close lets go of the file.
+// Close lets go of the file; ctx must have ended, or what is read ahead is waited for.
 func (r *reader) Close() {
 	r.drop()
-	if r.next != nil {
-		r.abandon(r.next)
-	}
+	r.next.drop()
 	r.t.let(r.e)
 }
 
@@ -282,7 +284,7 @@
 			}
 			clear(op.Buffer.B[copy(op.Buffer.B, data[:n]):])
 			op.Fresh, op.Durable = true, true
-			waiting = append(waiting, out{t.start(ctx, op), int64(n)})
+			waiting = append(waiting, out{t.start(op), int64(n)})
 			if len(waiting) > 1 {
 				err = finish()
 			}
--- a/internal/front/dav/methods.go
+++ b/internal/front/dav/methods.go
@@ -270,9 +270,9 @@
 		return answer(http.StatusMethodNotAllowed, "it is a folder; PROPFIND lists it")
 	}
 	ctx, cancel := context.WithCancel(q.r.Context())
-	defer cancel()
 	r := &reader{ctx: ctx, t: q.t, e: e}
 	defer r.Close()
+	defer cancel()
 	h := q.w.Header()
 	h.Set("ETag", etag(e))
 	h.Set("Content-Type", contentType(q.path, e))
@@ -550,9 +550,9 @@
 		return out, err
 	}
 	ctx, cancel := context.WithCancel(q.r.Context())
-	defer cancel()
 	r := &reader{ctx: ctx, t: q.t, e: e}
 	defer r.Close()
+	defer cancel()
 	out.Objects, out.Size, err = q.t.write(q.r.Context(), r, e.Size, func() {})
 	if r.err != nil {
 		err = r.err // and not as if the client's body were at fault
--- /dev/null
+++ b/internal/gateway/dav_bench_test.go
@@ -0,0 +1,164 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"appleplank/internal/fleet"
+	"appleplank/internal/standin"
+)
+
+// folder serves a plain folder: GET by the standard library, PUT synced and renamed into place.
+func folder(dir string) http.Handler {
+	files := http.FileServer(http.Dir(dir))
+	var n atomic.Int64
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != "PUT" {
+			files.ServeHTTP(w, r)
+			return
+		}
+		temp := filepath.Join(dir, fmt.Sprint(".new", n.Add(1)))
+		f, err := os.Create(temp)
+		if err == nil {
+			_, err = io.Copy(f, r.Body)
+		}
+		if err == nil {
+			err = f.Sync()
+		}
+		f.Close()
+		if err == nil {
+			err = os.Rename(temp, filepath.Join(dir, filepath.Base(r.URL.Path)))
+		}
+		if err != nil {
+			http.Error(w, err.Error(), 500)
+			return
+		}
+		w.WriteHeader(204)
+	})
+}
+
+// GET and PUT against a plain folder in the same run, and a GET's bytes by a ring: ratios of time. The nodes answer at
+// once, so this is what the software costs.
+func BenchmarkDav(b *testing.B) {
+	s := filed(b)
+	s.Volumes[1].Extent = 128 << 20
+	s.Head = strings.ReplaceAll(fleet.Head, "deadline = s(2)", "deadline = s(20)")
+	f, err := fleet.New(b.TempDir(), s)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer f.Close()
+	g, stop := start(b, f.Settings[0])
+	defer stop(false)
+	w := newWeb(b, g)
+	defer w.close()
+	w.http.Transport.(*http.Transport).MaxIdleConnsPerHost = 64
+	dir := b.TempDir()
+	plain := httptest.NewServer(folder(dir))
+	defer plain.Close()
+	p := &web{t: b, base: plain.URL, user: "ann", http: w.http}
+	cl, err := f.Dial(0, "orders", standin.ClientConfig{Queues: 1, Depth: 4, MostData: 1 << 20}, time.Second)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer cl.Vanish()
+	run := func(n, clients int, do func(i int) error) time.Duration {
+		var wg sync.WaitGroup
+		var bad atomic.Int64
+		began := time.Now()
+		for c := range clients {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for i := c; i < n; i += clients {
+					if do(c) != nil {
+						bad.Add(1)
+					}
+				}
+			}()
+		}
+		wg.Wait()
+		if bad.Load() > 0 {
+			b.Logf("%d of %d were not served", bad.Load(), n)
+		}
+		return time.Since(began)
+	}
+	for _, x := range []struct{ size, n int }{{4 << 10, 400}, {1 << 20, 60}, {64 << 20, 2}} {
+		data := strings.Repeat("x", x.size)
+		for _, clients := range []int{1, 32} {
+			if clients > x.n {
+				continue
+			}
+			b.Run(fmt.Sprintf("%d KiB by %d", x.size>>10, clients), func(b *testing.B) {
+				method := func(w *web, path, method, body string, code ...int) func(c int) error {
+					return func(c int) error {
+						got, text, _ := w.do(method, fmt.Sprintf("%s/%d-%d", path, x.size, c), body)
+						for _, k := range code {
+							if got == k {
+								return nil
+							}
+						}
+						return fmt.Errorf("%d %.100s", got, text)
+					}
+				}
+				put, putPlain := run(x.n, clients, method(w, "/f", "PUT", data, 201, 204)), run(x.n, clients, method(p, "", "PUT", data, 204))
+				get, getPlain := run(x.n, clients, method(w, "/f", "GET", "", 200)), run(x.n, clients, method(p, "", "GET", "", 200))
+				b.ReportMetric(float64(put)/float64(putPlain), "put/folder")
+				b.ReportMetric(float64(get)/float64(getPlain), "get/folder")
+				if clients == 1 {
+					ring := run(x.n, 1, func(int) error {
+						for at := 0; at < x.size; at += 128 << 10 {
+							n := min(x.size-at, 128<<10)
+							if r, err := cl.Do(0, 0, uint64(at%(8<<20))/512, nil, n); err != nil || r.Status != 0 {
+								return fmt.Errorf("status %d, %v", r.Status, err)
+							}
+						}
+						return nil
+					})
+					b.ReportMetric(float64(get)/float64(ring), "get/ring")
+				}
+				b.ReportMetric(0, "ns/op")
+				for c := range clients {
+					method(w, "/f", "DELETE", "", 204)(c)
+				}
+			})
+		}
+	}
+	b.Run("1000 slow clients", func(b *testing.B) {
+		w.want(201, "PUT", "/f/slow", strings.Repeat("x", 8<<20))
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var all []net.Conn
+		for range 1000 {
+			c, err := net.Dial("tcp", g.Dav.Addresses()[0])
+			if err != nil {
+				b.Fatal(err)
+			}
+			fmt.Fprintf(c, "GET /f/slow HTTP/1.1\r\nAuthorization: Basic YW5uOnNlY3JldA==\r\nHost: x\r\n\r\n")
+			all = append(all, c)
+		}
+		time.Sleep(3 * time.Second)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapInuse-min(before.HeapInuse, after.HeapInuse))/1000/1024, "KiB/client")
+		began := time.Now()
+		w.want(201, "PUT", "/f/beside", "x")
+		b.ReportMetric(float64(time.Since(began).Milliseconds()), "ms-put-beside")
+		b.ReportMetric(0, "ns/op")
+		for _, c := range all {
+			c.Close()
+		}
+	})
+}
