Test of a takeover of mirrored extents and files

Marks of stale copies and catalogues change hands in a takeover, which nothing tested: under load, with a copy stale, after an attempt that was cut off; nothing served is unread, the new process catches the copy up and serves the files.

--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -289,3 +289,81 @@
 	f.Close()
 	return f.Settings[0]
 }
+
+// A takeover of mirrored extents and of files: what a copy has missed goes along, nothing served is unread before, between
+// and after, the new process serves the files, and one that fails gives the marks back.
+func TestTakeoverOfCopiesAndFiles(t *testing.T) {
+	s := mirrored(1, "")
+	d := filed(t)
+	s.Volumes = append(s.Volumes, d.Volumes[1])
+	s.Last = d.Last
+	f, err := fleet.New(t.TempDir(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	g, stop := start(t, f.Settings[0])
+	cl, err := f.Dial(0, "orders", standin.ClientConfig{Queues: 1, Depth: 4, MostData: 64 << 10, Inflight: true}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cl.Vanish()
+	w := newWriter(t, cl)
+	const spread = 1 << 20
+	files := newWeb(t, g)
+	files.want(201, "PUT", "/f/x", "before")
+	files.close()
+	f.Nodes[2].Crash() // copies are stale when the next one begins
+	w.work(time.Now().Add(200*time.Millisecond), spread)
+	// One that is cut off before it has adopted anything.
+	lost, err := gateway.Takeover(config(t, f.Settings[0]), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	gone, cut := context.WithCancel(context.Background())
+	cut()
+	if err := lost.Run(gone, gone); err == nil {
+		t.Error("a takeover that was cut off has no error")
+	}
+	w.work(time.Now().Add(100*time.Millisecond), spread)
+	next, err := gateway.Takeover(config(t, f.Settings[0]), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		w.work(time.Now().Add(1500*time.Millisecond), spread)
+	}()
+	go func() { done <- next.Run(ctx, context.Background()) }()
+	if err := fleet.Eventually(10*time.Second, func() bool { return next.Rings.Sessions.Load() == 1 }); err != nil {
+		t.Fatal("nobody took over")
+	}
+	stop(false)
+	if err := f.Nodes[2].Up(false); err != nil {
+		t.Fatal(err)
+	}
+	<-over
+	whole(t, next)
+	if w.served < 50 {
+		t.Errorf("%d writes were served, %d not", w.served, w.failed)
+	}
+	for at := range w.acked {
+		if !w.read(at) {
+			t.Errorf("block at %d cannot be read", at)
+		}
+	}
+	alike(t, f, 0)
+	files = newWeb(t, next)
+	if got, _ := files.want(200, "GET", "/f/x", ""); got != "before" {
+		t.Errorf("%q", got)
+	}
+	files.want(204, "PUT", "/f/x", "after")
+	files.close()
+	cancel()
+	if err := <-done; err != nil {
+		t.Errorf("gateway: %v", err)
+	}
+}
