--- a/cmd/appleplank/catalogue.go
+++ b/cmd/appleplank/catalogue.go
@@ -53,6 +53,13 @@
 		}
 		return nil
 	})
+	sub("repair", "Make a catalogue sound: what leads nowhere goes, what has no name comes to /lost+found", func(volume string, cat *catalogue.Catalogue) error {
+		done, err := cat.Repair()
+		for _, d := range done {
+			fmt.Printf("%s: %s\n", volume, d)
+		}
+		return err
+	})
 	sub("export", "Print every name with its size, version and objects", func(volume string, cat *catalogue.Catalogue) error {
 		return cat.Export(os.Stdout)
 	})
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -721,6 +722,124 @@
 	return problems, files, folders, err
 }
 
+// Repair makes a catalogue sound again as far as that can be: names of entries that are not there go, entries without a
+// name come to /lost+found under their numbers, and of two files that lie on the same bytes the one that was written last
+// keeps them, as the other's were overwritten; that one goes. It gives a line for each thing done.
+func (c *Catalogue) Repair() (done []string, err error) {
+	_, err = c.update(func(t *change) error {
+		done = nil
+		did := func(format string, a ...any) { done = append(done, fmt.Sprintf(format, a...)) }
+		names, entries := t.tx.Bucket(bNames), t.tx.Bucket(bEntries)
+		all := map[uint64]*Entry{}
+		var broken [][]byte
+		if err := entries.ForEach(func(k, b []byte) error {
+			var e Entry
+			n := int64(0)
+			if len(k) == 8 && cbor.Unmarshal(b, &e) == nil {
+				for _, o := range e.Objects {
+					n += o.Len
+				}
+			}
+			if len(k) != 8 || e.ID != binary.BigEndian.Uint64(k) || n != e.Size {
+				broken = append(broken, slices.Clone(k))
+				return nil
+			}
+			all[e.ID] = &e
+			return nil
+		}); err != nil {
+			return err
+		}
+		for _, k := range broken {
+			did("entry %x cannot be read, or its size is not that of its objects: taken away", k)
+			if err := entries.Delete(k); err != nil {
+				return err
+			}
+		}
+		type use struct {
+			Object
+			e *Entry
+		}
+		var uses []use
+		for _, e := range all {
+			for _, o := range e.Objects {
+				uses = append(uses, use{o, e})
+			}
+		}
+		slices.SortFunc(uses, func(a, b use) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.e.Version, b.e.Version)) })
+		for i := 1; i < len(uses); i++ {
+			a, b := uses[i-1], uses[i]
+			if a.At+a.Len <= b.At || all[a.e.ID] == nil || all[b.e.ID] == nil || a.e == b.e {
+				continue
+			}
+			old := a.e
+			if b.e.Version < a.e.Version {
+				old = b.e
+			}
+			did("entry %d lies on bytes that were written anew: taken away", old.ID)
+			delete(all, old.ID)
+			if err := entries.Delete(num(old.ID)); err != nil {
+				return err
+			}
+		}
+		if all[root] == nil {
+			all[root] = &Entry{ID: root, Dir: true, Created: t.now, Modified: t.now}
+			did("the root is made anew")
+			if err := t.put(all[root]); err != nil {
+				return err
+			}
+		}
+		named := map[uint64]bool{root: true}
+		var wrong [][]byte
+		if err := names.ForEach(func(k, b []byte) error {
+			ok := len(k) > 8 && len(b) == 8
+			if ok {
+				parent, id := all[binary.BigEndian.Uint64(k)], binary.BigEndian.Uint64(b)
+				if ok = parent != nil && parent.Dir && all[id] != nil && !named[id]; ok {
+					named[id] = true
+				}
+			}
+			if !ok {
+				wrong = append(wrong, slices.Clone(k))
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+		for _, k := range wrong {
+			did("name %q leads nowhere: taken away", k[min(8, len(k)):])
+			if err := names.Delete(k); err != nil {
+				return err
+			}
+		}
+		var orphans []uint64
+		for id := range all {
+			if !named[id] {
+				orphans = append(orphans, id)
+			}
+		}
+		slices.Sort(orphans)
+		if len(orphans) == 0 {
+			return nil
+		}
+		const lost = "lost+found"
+		folder := view{t.tx}.child(root, lost)
+		if folder == 0 {
+			if err := t.mkdir(root, lost, nil); err != nil {
+				return err
+			}
+			folder = view{t.tx}.child(root, lost)
+		}
+		for _, id := range orphans {
+			did("entry %d has no name: it is /%s/%d now", id, lost, id)
+			if err := t.link(folder, fmt.Sprint(id), id); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	return done, err
+}
+
 // Export writes a line for each name: its path, size, version and objects.
 func (c *Catalogue) Export(w io.Writer) error {
 	type at struct {
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -4,11 +4,13 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
 	"appleplank/locks"
 
+	bolt "go.etcd.io/bbolt"
 	"pgregory.net/rapid"
 )
 
@@ -263,3 +265,67 @@
 		t.Errorf("%v, %v: %d files, %d folders", problems, err, files, folders)
 	}
 }
+
+// Whatever is taken out of a catalogue or put in at random, repair makes it sound, and what was sound stays reachable.
+func TestRepair(t *testing.T) {
+	dir := t.TempDir()
+	run := 0
+	rapid.Check(t, func(t *rapid.T) {
+		run++
+		c, err := Open(filepath.Join(dir, fmt.Sprint(run)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.db.NoSync = true
+		for i, p := range []string{"/a", "/a/b", "/c"} {
+			if err := c.Mkdir(p); err != nil {
+				t.Fatal(err)
+			}
+			if _, _, _, err := c.Put(p+"/f", "", 7, []Object{{int64(i * 10), 7}}, always); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if done, err := c.Repair(); err != nil || len(done) > 0 {
+			t.Fatalf("a sound one was repaired: %v, %v", done, err)
+		}
+		hurt := rapid.IntRange(1, 4).Draw(t, "hurts")
+		if err := c.db.Update(func(tx *bolt.Tx) error {
+			for range hurt {
+				b := tx.Bucket([][]byte{bNames, bEntries}[rapid.IntRange(0, 1).Draw(t, "bucket")])
+				var keys [][]byte
+				b.ForEach(func(k, _ []byte) error { keys = append(keys, slices.Clone(k)); return nil })
+				if len(keys) == 0 {
+					continue
+				}
+				k := keys[rapid.IntRange(0, len(keys)-1).Draw(t, "key")]
+				switch rapid.IntRange(0, 3).Draw(t, "how") {
+				case 0:
+					b.Delete(k)
+				case 1:
+					b.Put(k, []byte("nonsense"))
+				case 2:
+					b.Put(k, b.Get(keys[0]))
+				default:
+					b.Put(append(slices.Clone(k), 'x'), b.Get(k))
+				}
+			}
+			return nil
+		}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Repair(); err != nil {
+			t.Fatal(err)
+		}
+		problems, _, _, err := c.Check()
+		if err != nil || len(problems) > 0 {
+			t.Fatalf("after repair: %v, %v", problems, err)
+		}
+		if again, err := c.Repair(); err != nil || len(again) > 0 {
+			t.Fatalf("a second repair did more: %v, %v", again, err)
+		}
+		if _, err := c.Get("/"); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/internal/gateway/dav_test.go
+++ b/internal/gateway/dav_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -544,3 +545,57 @@
 	w.close()
 	stop(false)
 }
+
+var entries = flag.Int("entries", 2000, "names of the test of a full folder, and a tenth as many locks")
+
+// A folder of many names is listed whole and in order, in little memory, beside many locks.
+func TestDavFullFolder(t *testing.T) {
+	f, err := fleet.New(t.TempDir(), filed(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	g, stop := start(t, f.Settings[0])
+	w := newWeb(t, g)
+	defer w.close()
+	w.http.Timeout = time.Minute
+	w.http.Transport.(*http.Transport).MaxIdleConnsPerHost = 32
+	w.want(201, "MKCOL", "/f/full", "")
+	const info = `<lockinfo xmlns="DAV:"><lockscope><exclusive/></lockscope><locktype><write/></locktype></lockinfo>`
+	var wg sync.WaitGroup
+	for c := range 32 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := c; i < *entries; i += 32 {
+				p := fmt.Sprintf("/f/full/%06d", i)
+				if i%10 == 0 {
+					w.want(201, "LOCK", p, info, "Depth", "0", "Timeout", "Second-1000")
+				} else {
+					w.want(201, "PUT", p, "")
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	began := time.Now()
+	list, _ := w.want(207, "PROPFIND", "/f/full", "", "Depth", "1")
+	took := time.Since(began)
+	if n := strings.Count(list, "<D:response>"); n != *entries+1 || strings.Count(list, "<D:activelock>") != (*entries+9)/10 {
+		t.Errorf("%d names of %d, %d locks", n-1, *entries, strings.Count(list, "<D:activelock>"))
+	}
+	last := ""
+	for _, x := range strings.Split(list, "<D:response><D:href>/f/full/")[2:] {
+		if x[:6] <= last {
+			t.Fatalf("%s after %s", x[:6], last)
+		}
+		last = x[:6]
+	}
+	w.want(423, "DELETE", "/f/full", "")
+	w.want(423, "PUT", "/f/full/000000", "x")
+	began = time.Now()
+	w.want(204, "PUT", "/f/full/000001", "")
+	t.Logf("%d names listed in %v, %d bytes; a PUT beside the locks took %v", *entries, took, len(list), time.Since(began))
+	w.close()
+	stop(false)
+}
