--- a/internal/gateway/dav_test.go
+++ b/internal/gateway/dav_test.go
@@ -294,6 +294,8 @@
 	stop(false)
 }
 
+var davKills = flag.Int("dav-kills", 8, "kills of the test of files")
+
 // Gateways killed at any time of PUT, MOVE, DELETE and MKCOL: what was answered is there, the rest whole or absent, the
 // catalogue is sound, and no space is lost.
 func TestDavKilled(t *testing.T) {
@@ -307,7 +309,7 @@
 	unsure := map[string]bool{}                       // a cut-off DELETE or MOVE
 	content := func(n int) string { return fmt.Sprintf("%07d\n", n) + strings.Repeat("x", n%9*40_000) }
 	next := 0
-	for round := range 8 {
+	for round := range *davKills {
 		g, stop := start(t, f.Settings[0])
 		w := newWeb(t, g)
 		time.Sleep(60 * time.Millisecond)
@@ -332,7 +334,23 @@
 			defer close(done)
 			for {
 				p := "/f/" + string(rune('a'+rng.IntN(3)))
-				switch rng.IntN(4) {
+				switch rng.IntN(5) {
+				case 1: // over another name, or a free one
+					to := "/f/" + string(rune('a'+rng.IntN(3)))
+					if to == p {
+						continue
+					}
+					switch code, _, _ := w.do("MOVE", p, "", "Destination", w.base+to); code {
+					case 201, 204:
+						state[to] = state[p]
+						delete(state, p)
+					case 0:
+						unsure[p] = true
+						if at, ok := state[p]; ok {
+							open[to] = at
+						}
+						return
+					}
 				case 0:
 					switch code, _, _ := w.do("DELETE", p, ""); code {
 					case 204:
@@ -353,7 +371,7 @@
 				}
 			}
 		}()
-		time.Sleep(time.Duration(20+round*13) * time.Millisecond)
+		time.Sleep(time.Duration(20+round%8*13) * time.Millisecond)
 		stop(true)
 		<-done
 		w.close()
--- a/internal/gateway/mirror_test.go
+++ b/internal/gateway/mirror_test.go
@@ -196,6 +196,8 @@
 	alike(t, f, 0)
 }
 
+var mirrorKills = flag.Int("mirror-kills", 12, "kills of the test of copies")
+
 // Gateways that are killed at any time, also between the sends to two copies: after each start what was answered stands,
 // reads never go back, and the copies become alike.
 func TestMirrorGatewayKilled(t *testing.T) {
@@ -209,7 +211,7 @@
 	var g *gateway.Gateway
 	var stop func(bool)
 	rng := rand.New(rand.NewPCG(5, 6))
-	for round := range 12 {
+	for round := range *mirrorKills {
 		g, stop = start(t, f.Settings[0])
 		if w.cl, err = f.Dial(0, "orders", standin.ClientConfig{Queues: 1, Depth: 4, MostData: 64 << 10}, time.Second); err != nil {
 			t.Fatal(err)
