--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -602,6 +602,8 @@
 	op.Verdict = verdicts[op.answer]
 	if op.Verdict != block.Refused {
 		op.CoolDown = 0
+	} else if v := &c.vols[op.Volume]; !op.NoRoom {
+		op.Limited = c.host.Limited(logic.VolumeID(v.Account), v.Units(op.Len))
 	}
 	op.Took = now - op.taken
 	c.tally.Answers[op.Verdict]++
--- a/internal/engine/op.go
+++ b/internal/engine/op.go
@@ -40,6 +40,7 @@
 	Class    int
 	Took     logic.Micros
 	NoRoom   bool // refused: no place has room for the object
+	Limited  bool // refused: the plan's limit stands in the way
 
 	refs   atomic.Int32
 	taken  logic.Micros
@@ -78,7 +79,7 @@
 	}
 	op.Buffer.Release()
 	op.Volume, op.Kind, op.Offset, op.Len, op.Buffer, op.Durable, op.Key, op.Left, op.Ran, op.Fresh, op.Front, op.Tag = 0, 0, 0, 0, nil, false, 0, 0, false, false, nil, 0
-	op.Verdict, op.CoolDown, op.Class, op.Took, op.NoRoom, op.taken = 0, 0, 0, 0, false, 0
+	op.Verdict, op.CoolDown, op.Class, op.Took, op.NoRoom, op.Limited, op.taken = 0, 0, 0, 0, false, false, 0
 	op.left, op.alive, op.answer, op.joined, op.gone, op.over = 0, 0, 0, false, false, false
 	op.pieces = op.pieces[:0]
 	clear(op.changes)
--- a/internal/front/dav/io.go
+++ b/internal/front/dav/io.go
@@ -34,6 +34,7 @@
 	Verdict  block.Verdict
 	CoolDown logic.Micros
 	NoRoom   bool
+	Limited  bool
 }
 
 func (e *OpError) Error() string {
@@ -89,7 +90,7 @@
 		}
 	}
 	if op := c.op; op.Verdict != block.Served {
-		err := &OpError{op.Verdict, op.CoolDown, op.NoRoom}
+		err := &OpError{op.Verdict, op.CoolDown, op.NoRoom, op.Limited}
 		op.Release()
 		return err
 	}
--- a/internal/front/dav/methods.go
+++ b/internal/front/dav/methods.go
@@ -69,7 +69,9 @@
 	case errors.As(err, &op) && op.Verdict == block.Refused:
 		wait := max(1, int(math.Ceil(float64(op.CoolDown)/1e6)))
 		q.w.Header().Set("Retry-After", strconv.Itoa(wait))
-		code, text = http.StatusServiceUnavailable, "refused: nothing was done"
+		if code, text = http.StatusServiceUnavailable, "refused: nothing was done"; op.Limited {
+			code, text = http.StatusTooManyRequests, "the plan's limit is used up: nothing was done"
+		}
 	case errors.As(err, &op):
 		code, text = http.StatusBadGateway, "a node failed"
 	case errors.Is(err, catalogue.ErrNotFound):
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -506,6 +506,13 @@
 	return at - h.now + Micros(h.unit*units)
 }
 
+// Limited tells whether it is the volume's slice of its limit that stands in the way of so many units now,
+// for callers that tell their clients why.
+func (h *Host) Limited(id VolumeID, units float64) bool {
+	v := h.volumes[id]
+	return v != nil && v.plan.Limit > 0 && h.fill(v)-units < -v.plan.LimitSlack/v.attached
+}
+
 // Down tells that no node of a cell takes connections for now, so that what may go elsewhere need not wait
 // for the next try.
 func (h *Host) Down(cell int) bool {
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -520,6 +520,19 @@
 	}
 }
 
+// Limited says why: only while the slice cannot hold the units, and only where there is a limit.
+func TestLimited(t *testing.T) {
+	b := newBench(t, plain(), 1)
+	b.step(b.ask(0, 2, units(6)), b.ask(0, 0))
+	if b.h.Limited(9, 1) || b.h.Limited(0, 1000) || !b.h.Limited(2, 20) {
+		t.Error("limited without a limit, or not where the slice is spent")
+	}
+	b.wait(3 * sec)
+	if b.h.Limited(2, 6) || !b.h.Limited(2, 60) {
+		t.Error("limited though the slice holds it, or not where it never can")
+	}
+}
+
 func TestLimitTooLargeIsAnswered(t *testing.T) {
 	b := newBench(t, plain(), 1)
 	a := b.ask(0, 2, attached(2), units(60))
