--- a/internal/front/ring/inflight.go
+++ b/internal/front/ring/inflight.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"unsafe"
@@ -163,7 +164,9 @@
 	if f.ours {
 		r := f.trailer() + trailerHeader + trailerRecord*index*f.entries
 		t.rec = f.mem[r : r+trailerRecord*f.entries]
-		t.nonce = binary.LittleEndian.Uint64(f.mem[f.trailer()+16:])
+		// Fresh for each process that takes the region up: with the region's own and a counter that begins anew, a new
+		// write could have an older one's key, and a node that remembers that would drop it. Found by a takeover under load.
+		t.nonce = rand.Uint64()
 	}
 	return t, nil
 }
@@ -215,11 +218,11 @@
 	}
 	for head := range num {
 		d := t.desc(head)
+		x := found{head: head, counter: le.Uint64(d[8:])}
+		t.counter = max(t.counter, x.counter) // also of what is over, so that the order goes on
 		if d[0] == 0 {
 			continue
 		}
-		x := found{head: head, counter: le.Uint64(d[8:])}
-		t.counter = max(t.counter, x.counter)
 		if r := t.record(head); r != nil {
 			x.taken = recall.Taken{Known: true, Sent: le.Uint32(r[28:]) != 0, Age: now - logic.Micros(le.Uint64(r)), First: now - logic.Micros(le.Uint64(r[8:]))}
 			x.key, x.node = le.Uint64(r[16:]), le.Uint32(r[24:])
--- a/internal/front/ring/track_test.go
+++ b/internal/front/ring/track_test.go
@@ -83,3 +83,36 @@
 		}
 	})
 }
+
+// No process that takes a region up gives out a key that an earlier one has given out, however little was in flight: a node
+// that remembers it would drop the write as a repeat.
+func TestKeysNeverRepeat(t *testing.T) {
+	const num = 8
+	f, err := newInflight(1, num, 99)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := map[uint64]bool{}
+	last := uint64(0)
+	for process := range 4 {
+		tr, err := f.track(0, num)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := tr.recover(num, uint16(process), 1000); err != nil {
+			t.Fatal(err)
+		}
+		if tr.counter < last {
+			t.Errorf("process %d counts from %d, the one before it came to %d", process, tr.counter, last)
+		}
+		for range 5 {
+			if key := tr.take(3, 1000); key == 0 || seen[key] {
+				t.Fatalf("process %d gives out key %#x again", process, key)
+			} else {
+				seen[key] = true
+			}
+			tr.mark(3, 0)
+		}
+		last = tr.counter
+	}
+}
