--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", e.Instance, err)
 	}
-	host, err := logic.New(settings(s), e.Seed)
+	host, err := logic.New(s.Logic(), e.Seed)
 	if err != nil {
 		return fmt.Errorf("instance %d: %w", e.Instance, err)
 	}
--- a/cmd/wirehost/main_test.go
+++ b/cmd/wirehost/main_test.go
@@ -164,7 +164,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got := settings(s); !got.CoolDowns || got.MaxCoolDown != 500000 {
+	if got := s.Logic(); !got.CoolDowns || got.MaxCoolDown != 500000 {
 		t.Errorf("advice %v, at most %d us", got.CoolDowns, got.MaxCoolDown)
 	}
 }
--- /dev/null
+++ b/internal/platform/front/front.go
@@ -0,0 +1,422 @@
+// Package front takes the platform's clients: it reads their requests, hands them to the core and writes the answers.
+// Which connections are kept, closed or turned away is decided by package seats.
+package front
+
+import (
+	"errors"
+	"hash/maphash"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"appleplank/internal/http1"
+	"appleplank/internal/platform/core"
+	"appleplank/internal/sock"
+	"appleplank/logic"
+	"appleplank/seats"
+
+	"go.uber.org/zap"
+)
+
+// Taker is who takes requests.
+type Taker interface {
+	Now() logic.Micros
+	Take(r *core.Request)
+	Gone(r *core.Request)
+}
+
+// Front serves the clients of one listener.
+type Front struct {
+	listener net.Listener
+	service  *Service
+	taker    Taker
+	log      *zap.Logger
+	ready    atomic.Bool
+	draining atomic.Bool
+	seed     maphash.Seed
+
+	mu    sync.Mutex // never held while the taker is called
+	seats *seats.Table
+	open  map[uint64]struct{} // ids of requests that are held, hashed
+	Tally Tally
+	swept *time.Timer
+	ended bool
+	wait  sync.WaitGroup
+}
+
+// Tally counts what the front has seen.
+type Tally struct {
+	Taken, Rejected, Left, Health uint64
+}
+
+// sweep is how often connections are looked through.
+const sweep = 100 * time.Millisecond
+
+// writeFor bounds how long a client may take to read an answer that its socket does not hold.
+const writeFor = 2 * time.Second
+
+// New serves the clients of a listener.
+func New(l net.Listener, s *Service, t Taker, table *seats.Table, log *zap.Logger) *Front {
+	f := &Front{listener: l, service: s, taker: t, seats: table, log: log, open: map[uint64]struct{}{}, seed: maphash.MakeSeed()}
+	f.swept = time.AfterFunc(sweep, f.sweep)
+	return f
+}
+
+// Ready makes the front answer that it may be put in use.
+func (f *Front) Ready() { f.ready.Store(true) }
+
+// Serve takes connections until the listener is closed.
+func (f *Front) Serve() error {
+	for {
+		raw, err := f.listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			// Out of descriptors, or a connection that broke before it was taken.
+			f.log.Warn("no connection taken", zap.Error(err))
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		conn, err := sock.New(raw.(*net.TCPConn))
+		if err != nil {
+			raw.Close()
+			continue
+		}
+		c := &client{f: f, conn: conn}
+		now := f.taker.Now()
+		f.mu.Lock()
+		seat, out := f.seats.Take(now, c)
+		if out != nil {
+			out.Owner.(*client).conn.Close()
+		}
+		if c.seat = seat; seat == nil || f.ended {
+			if seat != nil {
+				f.seats.Leave(seat)
+			}
+			f.mu.Unlock()
+			conn.Close()
+			continue
+		}
+		f.wait.Add(1)
+		f.mu.Unlock()
+		go c.serve()
+	}
+}
+
+// Drain goes on serving whoever still comes, and ends each connection with its next answer.
+func (f *Front) Drain() { f.draining.Store(true) }
+
+// Close ends the listener and all connections; requests must have been answered.
+func (f *Front) Close() {
+	f.listener.Close()
+	f.mu.Lock()
+	f.ended = true
+	f.swept.Stop()
+	for _, s := range f.seats.All() {
+		s.Owner.(*client).conn.Close()
+	}
+	f.mu.Unlock()
+	f.wait.Wait()
+}
+
+func (f *Front) sweep() {
+	now := f.taker.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended {
+		return
+	}
+	for s := f.seats.Overdue(now); s != nil; s = f.seats.Overdue(now) {
+		c := s.Owner.(*client)
+		if st := s.State(); st == seats.Speaking || st == seats.Resuming {
+			c.conn.TryWrite(appendError(nil, &reject{408, "the request does not end"}))
+		}
+		f.seats.Leave(s)
+		c.conn.Close()
+	}
+	f.swept.Reset(sweep)
+}
+
+// client is one connection.
+type client struct {
+	f    *Front
+	conn *sock.Conn
+	seat *seats.Seat
+	req  core.Request
+
+	// Under the front's lock.
+	held   bool // the taker has the request
+	id     uint64
+	what   uint64
+	rest   logic.Micros
+	ending bool // closes after its answer
+	left   bool // the client has closed, or sent more than it may
+	out    []byte
+}
+
+// serve reads requests one after the other.
+func (c *client) serve() {
+	f := c.f
+	defer f.wait.Done()
+	r := http1.NewReader(c.conn)
+	var m http1.Message
+	for first := true; ; first = false {
+		if !c.next(r, first) {
+			return
+		}
+		err := r.Request(&m)
+		now := f.taker.Now()
+		if err != nil {
+			var odd *http1.Error
+			if errors.As(err, &odd) {
+				c.reject(now, &reject{odd.Status, odd.What})
+			} else {
+				c.end()
+			}
+			return
+		}
+		if string(m.Method) == "GET" && string(m.Target) == f.service.Health {
+			if !c.health(now) {
+				return
+			}
+			continue
+		}
+		if why := f.service.read(&m, &c.req); why != nil {
+			c.reject(now, why)
+			return
+		}
+		if r.Buffered() > 0 {
+			c.reject(now, &reject{400, "more than one request at a time"})
+			return
+		}
+		if why := c.take(now, &m); why != nil {
+			if why == displaced {
+				c.end()
+			} else {
+				c.reject(now, why)
+			}
+			return
+		}
+		f.taker.Take(&c.req)
+		if !c.watch(r) {
+			return
+		}
+	}
+}
+
+// next waits for the first byte of a request; false: the connection is over.
+func (c *client) next(r *http1.Reader, first bool) bool {
+	f := c.f
+	f.mu.Lock()
+	rest := c.rest
+	c.rest = 0
+	f.mu.Unlock()
+	if rest > 0 {
+		time.Sleep(time.Duration(rest) * time.Microsecond)
+	}
+	if err := r.Wait(); err != nil {
+		c.end()
+		return false
+	}
+	to := seats.Resuming
+	if first {
+		to = seats.Speaking
+	}
+	f.mu.Lock()
+	f.seats.Move(f.taker.Now(), c.seat, to)
+	f.mu.Unlock()
+	return true
+}
+
+// displaced says that another took the connection's seat while its request came in; nothing can be answered.
+var displaced = &reject{503, "the connection was closed for another"}
+
+// take books a request in.
+func (c *client) take(now logic.Micros, m *http1.Message) *reject {
+	f := c.f
+	id := maphash.Bytes(f.seed, c.req.ID)
+	what := maphash.Bytes(f.seed, c.req.Target)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.seat.Gone() {
+		return displaced
+	}
+	if _, open := f.open[id]; open {
+		return &reject{409, "a request with that id is open"}
+	}
+	if !f.seats.Hold(c.seat, len(m.Body)) {
+		return &reject{503, "no room for its body"}
+	}
+	c.rest = f.seats.Rest(now, c.seat, what)
+	f.open[id] = struct{}{}
+	c.id, c.what, c.held, c.ending = id, what, true, m.Close
+	c.req.Front = c
+	f.seats.Move(now, c.seat, seats.Open)
+	f.Tally.Taken++
+	return nil
+}
+
+// watch waits until the request was answered and the next one begins, or the client leaves; false: this goroutine
+// has no more to do.
+func (c *client) watch(r *http1.Reader) bool {
+	f := c.f
+	err := r.Wait()
+	f.mu.Lock()
+	if c.held {
+		// It has left, or speaks out of turn and will be closed with its answer. Only one that has left is given up.
+		c.left = true
+		if err != nil {
+			f.Tally.Left++
+		}
+		f.mu.Unlock()
+		if err != nil {
+			f.taker.Gone(&c.req)
+		}
+		return false
+	}
+	f.mu.Unlock()
+	if err != nil {
+		c.end()
+		return false
+	}
+	return true
+}
+
+// Answer implements [core.Front].
+func (c *client) Answer(now logic.Micros, r *core.Request, a core.Answer) {
+	f := c.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.held = false
+	delete(f.open, c.id)
+	f.seats.Free(c.seat)
+	if a.Verdict == core.Refused {
+		f.seats.Refused(now, c.seat, c.what)
+	}
+	last := c.ending || c.left || f.draining.Load()
+	c.out = appendAnswer(c.out[:0], a, last)
+	n, err := c.conn.TryWrite(c.out)
+	if err == nil && n < len(c.out) {
+		f.wait.Add(1)
+		go c.finish(c.out[n:], last)
+		c.out = nil
+		return
+	}
+	if cap(c.out) > keepOut {
+		c.out = nil
+	}
+	c.answered(now, last || err != nil)
+}
+
+// keepOut is the largest buffer that a connection keeps for its answers.
+const keepOut = 2 << 10
+
+// answered says that the answer has left. Under the lock.
+func (c *client) answered(now logic.Micros, last bool) {
+	if last {
+		c.f.seats.Leave(c.seat)
+		c.conn.Close()
+		return
+	}
+	c.f.seats.Move(now, c.seat, seats.Idle)
+}
+
+// finish writes what the socket did not take at once.
+func (c *client) finish(b []byte, last bool) {
+	f := c.f
+	defer f.wait.Done()
+	c.conn.SetWriteDeadline(time.Now().Add(writeFor))
+	_, err := c.conn.Write(b)
+	c.conn.SetWriteDeadline(time.Time{})
+	f.mu.Lock()
+	c.answered(f.taker.Now(), last || err != nil)
+	f.mu.Unlock()
+}
+
+// health answers whether the front may be put in use; false: the connection is over.
+func (c *client) health(now logic.Micros) bool {
+	f := c.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Tally.Health++
+	text := healthy
+	if !f.ready.Load() || f.draining.Load() {
+		text = unwell
+	}
+	n, err := c.conn.TryWrite(text)
+	last := err != nil || n < len(text)
+	c.answered(now, last)
+	return !last
+}
+
+// reject answers what cannot be taken and ends the connection, with time for the client to read why.
+func (c *client) reject(now logic.Micros, why *reject) {
+	f := c.f
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Tally.Rejected++
+	f.log.Debug("rejected", zap.String("why", why.why))
+	c.conn.TryWrite(appendError(c.out[:0], why))
+	c.conn.CloseWrite()
+	f.seats.Move(now, c.seat, seats.Lingering)
+}
+
+// end closes the connection.
+func (c *client) end() {
+	c.f.mu.Lock()
+	c.f.seats.Leave(c.seat)
+	c.f.mu.Unlock()
+	c.conn.Close()
+}
+
+var (
+	healthy = []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	unwell  = []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+)
+
+func appendAnswer(b []byte, a core.Answer, last bool) []byte {
+	switch {
+	case a.Verdict == core.Served:
+		b = append(b, "HTTP/1.1 200 OK\r\n"...)
+	case a.Verdict == core.Failed:
+		b = append(b, "HTTP/1.1 504 Gateway Timeout\r\n"...)
+	case a.Limited:
+		b = append(b, "HTTP/1.1 429 Too Many Requests\r\n"...)
+	default:
+		b = append(b, "HTTP/1.1 503 Service Unavailable\r\n"...)
+	}
+	if a.Verdict == core.Refused && a.CoolDown > 0 {
+		b = append(b, "Retry-After: "...)
+		b = strconv.AppendFloat(b, float64(a.CoolDown)/1e6, 'f', 3, 64)
+		b = append(b, "\r\n"...)
+	}
+	if last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, int64(len(a.Body)), 10)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, a.Body...)
+}
+
+func appendError(b []byte, r *reject) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(r.status), 10)
+	b = append(b, " Rejected\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(r.why)), 10)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, r.why...)
+}
+
+// Stop takes no new connections.
+func (f *Front) Stop() { f.listener.Close() }
+
+// Busy tells whether a request is held or on its way in.
+func (f *Front) Busy() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seats.Busy()
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,153 @@
+// Package platform runs appleplank as an initiator of the platform: clients come by its HTTP protocol, targets are
+// reached by the same, discovery tells of them, and package logic decides. It puts the parts together.
+package platform
+
+import (
+	"context"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"appleplank/internal/platform/config"
+	"appleplank/internal/platform/core"
+	"appleplank/internal/platform/discovery"
+	"appleplank/internal/platform/front"
+	"appleplank/internal/platform/target"
+	"appleplank/logic"
+	"appleplank/seats"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// Of the descriptors that are granted, clients have clientPart and targets targetPart; the rest is for the
+	// listener, discovery, logs, and connections that are being closed.
+	clientPart, targetPart = 0.5, 0.25
+	// Of the memory that is granted, the heap has heapPart, and the bodies of requests that are held bodyPart.
+	heapPart, bodyPart = 0.6, 0.1
+
+	defaultSockets = 1024
+	defaultMemory  = 512 // MB
+
+	healthPath = "/_health"
+	// comingFor is how long after SIGTERM connections may still come, lastly how long an answer may take to leave.
+	comingFor = 600 * time.Millisecond
+	// readyBy is how long discovery is waited for before the list that was known is used.
+	readyBy = time.Second
+)
+
+// Initiator is one that runs.
+type Initiator struct {
+	cfg   *config.Config
+	env   func(string) string
+	log   *zap.Logger
+	shell *core.Shell
+	front *front.Front
+	back  *target.Back
+	watch *discovery.Watch
+}
+
+// New starts an initiator: it listens, and is ready once discovery has told something.
+func New(env func(string) string, log *zap.Logger) (*Initiator, error) {
+	cfg, err := config.Load(env)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Limits.Sockets == 0 {
+		cfg.Limits.Sockets = defaultSockets
+	}
+	if cfg.Limits.MemoryMB == 0 {
+		cfg.Limits.MemoryMB = defaultMemory
+	}
+	memory := cfg.Limits.MemoryMB * (1 << 20)
+	debug.SetMemoryLimit(int64(memory * heapPart))
+	if cfg.Limits.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	}
+	s := cfg.Settings
+	c, err := core.New(cfg.Logic, cfg.Seed, s.Limits.OpenCap)
+	if err != nil {
+		return nil, err
+	}
+	in := &Initiator{cfg: cfg, env: env, log: log}
+	in.shell = core.NewShell(c, cfg.Logic.Tick, log)
+	in.back = target.New(target.Settings{
+		Most: int(targetPart * float64(cfg.Limits.Sockets)), Idle: logic.Micros(s.Limits.ConnIdleUs),
+		Connect: time.Duration(s.Limits.ConnectTimeoutUs) * time.Microsecond, Fields: target.NewFields(s.Report.Fields),
+	}, in.shell, log)
+	in.shell.SetBack(in.back)
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	service := &front.Service{Classes: map[string]int{}, Plans: map[string]int{}, Cells: s.FamilyInfo.SlotsTotal, Health: healthPath}
+	for i, x := range s.Classes {
+		service.Classes[x.Name] = i
+		service.Repeat = append(service.Repeat, cfg.Logic.Classes[i].Repeat)
+	}
+	for i, x := range s.ServiceLevels {
+		service.Plans[x.Name] = i
+	}
+	table := seats.New(int(clientPart*float64(cfg.Limits.Sockets)), int(memory*bodyPart))
+	in.front = front.New(listener, service, in.shell, table, log)
+	in.watch = discovery.New(cfg.Known, s.Zones, in.shell, in.front.Ready, log)
+	in.watch.Use(cfg.Discovery)
+	time.AfterFunc(readyBy, in.front.Ready)
+	return in, nil
+}
+
+// Run serves until the first signal to end, and then until all it holds is answered.
+func (in *Initiator) Run(ctx context.Context, reload <-chan os.Signal) error {
+	served := make(chan error, 1)
+	go func() { served <- in.front.Serve() }()
+	for {
+		select {
+		case err := <-served:
+			return err
+		case <-reload:
+			in.reload()
+		case <-ctx.Done():
+			in.drain()
+			return nil
+		}
+	}
+}
+
+// reload takes a new configuration, whole or not at all. A file that is being written is looked at again.
+func (in *Initiator) reload() {
+	cfg, err := config.Load(in.env)
+	for tries := 0; err != nil && tries < 5; tries++ {
+		time.Sleep(100 * time.Millisecond)
+		cfg, err = config.Load(in.env)
+	}
+	if err != nil {
+		in.log.Error("the new configuration is not used, the old one stays", zap.Error(err))
+		return
+	}
+	if cfg.Listen != in.cfg.Listen || cfg.Name != in.cfg.Name {
+		in.log.Error("the new configuration is not used, the old one stays: it is another initiator's",
+			zap.String("name", cfg.Name), zap.String("listen", cfg.Listen))
+		return
+	}
+	in.log.Info("a new configuration", zap.String("discovery", cfg.Discovery))
+	// Limits and settings count from the next start on.
+	in.cfg.Discovery = cfg.Discovery
+	in.watch.Use(cfg.Discovery)
+}
+
+// drain serves what still comes, answers all that is held, and ends.
+func (in *Initiator) drain() {
+	in.log.Info("ending")
+	in.front.Drain()
+	time.Sleep(comingFor)
+	in.front.Stop()
+	for in.front.Busy() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	in.watch.Close()
+	in.front.Close()
+	in.shell.Close()
+}
--- /dev/null
+++ b/internal/platform/target/target.go
@@ -0,0 +1,372 @@
+// Package target carries attempts to targets, one at a time on a connection, and tells how each ended by what was
+// written and read. Which connection is used, and which is closed when, is decided by package spares.
+package target
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"appleplank/internal/http1"
+	"appleplank/internal/platform/core"
+	"appleplank/internal/sock"
+	"appleplank/logic"
+	"appleplank/spares"
+
+	"go.uber.org/zap"
+)
+
+// Sink is who hears how attempts ended.
+type Sink interface {
+	Now() logic.Micros
+	Ended(a *core.Attempt, res core.Result)
+}
+
+// Settings is what the back is told.
+type Settings struct {
+	Most    int           // connections
+	Idle    logic.Micros  // after which targets close them
+	Connect time.Duration // a connection that is not up by then is none
+	Fields  Fields        // of load reports
+}
+
+// Back implements [core.Back].
+type Back struct {
+	set  Settings
+	sink Sink
+	log  *zap.Logger
+
+	mu     sync.Mutex // never held while the sink is told
+	spares *spares.Set
+	places map[logic.NodeID]string
+	lines  map[*line]struct{}
+	swept  *time.Timer
+	closed bool
+	wait   sync.WaitGroup
+	Tally  Tally
+}
+
+// Tally counts what came over the sockets.
+type Tally struct {
+	Dialled, DialFailed, Answers, Spoilt, Surplus, Broken uint64
+}
+
+// New makes a back.
+func New(set Settings, sink Sink, log *zap.Logger) *Back {
+	b := &Back{set: set, sink: sink, log: log, spares: spares.New(set.Most, set.Idle),
+		places: map[logic.NodeID]string{}, lines: map[*line]struct{}{}}
+	b.swept = time.AfterFunc(sweep, b.sweep)
+	return b
+}
+
+// sweep is how often idle connections are looked through.
+const sweep = 250 * time.Millisecond
+
+type state uint8
+
+const (
+	dialling state = iota
+	busy           // its attempt is out
+	told           // the attempt's end was brought, and is not used yet
+	idle
+	over
+)
+
+// line is one connection.
+type line struct {
+	back    *Back
+	spare   spares.Line
+	node    logic.NodeID
+	address string
+	cancel  context.CancelFunc // of a dial
+
+	// Under the back's lock.
+	state   state
+	attempt *core.Attempt
+	written bool // the attempt's last byte has left
+	dropped bool
+	conn    *sock.Conn
+	out     []byte // what is written of the attempt
+	sent    int
+	spent   bool // to be closed once its end is used
+	stray   bool // something has come while nothing was out
+}
+
+// Start implements [core.Back].
+func (b *Back) Start(now logic.Micros, a *core.Attempt, r *core.Request) {
+	b.mu.Lock()
+	for {
+		s := b.spares.Pick(now, a.Node)
+		if s == nil {
+			break
+		}
+		l := s.Owner.(*line)
+		// What the target has sent unasked, or that it has closed, shows here at the latest, also where the reader
+		// has it in hand already: taken for the answer to come, it would be served to the wrong client. Nothing was
+		// written yet, so another connection may be taken.
+		if l.stray || l.conn.Quiet() != nil {
+			b.Tally.Surplus++
+			b.end(l)
+			continue
+		}
+		l.begin(now, a, r)
+		n, err := l.conn.TryWrite(l.out)
+		if err != nil && n == 0 {
+			l.attempt = nil
+			b.end(l)
+			continue
+		}
+		l.sent = n
+		if l.written = n == len(l.out); !l.written && err == nil {
+			b.wait.Add(1)
+			go l.rest()
+		}
+		b.mu.Unlock() // a broken one is seen by its reader
+		return
+	}
+	address := b.places[a.Node]
+	out, room := b.spares.Dial()
+	if out != nil {
+		b.end(out.Owner.(*line))
+	}
+	if !room || address == "" || b.closed {
+		if room {
+			b.spares.Gone(&spares.Line{})
+		}
+		b.mu.Unlock()
+		// Later, as the core is at work: nothing was sent.
+		go b.sink.Ended(a, core.Result{Outcome: logic.Moot, Load: logic.NoLoad})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), b.set.Connect)
+	l := &line{back: b, node: a.Node, address: address, cancel: cancel}
+	l.spare.Owner = l
+	l.begin(now, a, r)
+	l.state = dialling
+	b.lines[l] = struct{}{}
+	b.Tally.Dialled++
+	b.wait.Add(1)
+	b.mu.Unlock()
+	go l.run(ctx)
+}
+
+// begin takes an attempt and writes down its request.
+func (l *line) begin(now logic.Micros, a *core.Attempt, r *core.Request) {
+	l.state, l.attempt, l.written, l.dropped, l.spent, l.sent = busy, a, false, false, false, 0
+	l.out = appendRequest(l.out[:0], l.address, a.StopAt-now, r)
+	a.Conn = l
+}
+
+// Drop implements [core.Back].
+func (b *Back) Drop(a *core.Attempt) {
+	b.mu.Lock()
+	if l, ok := a.Conn.(*line); ok && l.attempt == a && (l.state == busy || l.state == dialling) {
+		l.dropped = true
+		if l.conn != nil {
+			l.conn.Close() // its reader brings the end
+		}
+		l.cancel()
+	}
+	b.mu.Unlock()
+}
+
+// Done implements [core.Back].
+func (b *Back) Done(now logic.Micros, a *core.Attempt) {
+	b.mu.Lock()
+	if l, ok := a.Conn.(*line); ok && l.attempt == a {
+		l.attempt = nil
+		if l.state == told {
+			if l.spent || b.closed || b.places[l.node] != l.address {
+				b.end(l)
+			} else {
+				l.state = idle
+				b.spares.Idle(now, l.node, &l.spare)
+			}
+		}
+	}
+	b.mu.Unlock()
+}
+
+// Targets implements [core.Back].
+func (b *Back) Targets(_ logic.Micros, list []core.Place) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	clear(b.places)
+	for _, p := range list {
+		b.places[p.Node] = p.Address
+	}
+	for l := range b.lines {
+		if l.state == idle && b.places[l.node] != l.address {
+			b.end(l)
+		}
+	}
+}
+
+// end closes a connection that has no attempt out. Under the lock.
+func (b *Back) end(l *line) {
+	if l.state == over {
+		return
+	}
+	if _, ok := b.lines[l]; ok {
+		delete(b.lines, l)
+		b.spares.Gone(&l.spare)
+	}
+	l.state = over
+	if l.conn != nil {
+		l.conn.Close()
+	}
+	l.cancel()
+}
+
+func (b *Back) sweep() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return
+	}
+	for s := b.spares.Overdue(b.sink.Now()); s != nil; s = b.spares.Overdue(b.sink.Now()) {
+		b.end(s.Owner.(*line))
+	}
+	b.swept.Reset(sweep)
+}
+
+// Close ends all connections and waits for their goroutines.
+func (b *Back) Close() {
+	b.mu.Lock()
+	b.closed = true
+	b.swept.Stop()
+	for l := range b.lines {
+		if l.state == idle || l.state == told {
+			b.end(l)
+		} else if l.conn != nil {
+			l.conn.Close()
+		}
+		l.cancel()
+	}
+	b.mu.Unlock()
+	b.wait.Wait()
+}
+
+// Open tells how many connections there are, and how many of them are idle.
+func (b *Back) Open() (open, idle int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.spares.Open()
+}
+
+// run connects, sends the first attempt, and reads answers as long as the connection lasts.
+func (l *line) run(ctx context.Context) {
+	b := l.back
+	defer b.wait.Done()
+	defer l.cancel()
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp", l.address)
+	var conn *sock.Conn
+	if err == nil {
+		conn, err = sock.New(raw.(*net.TCPConn))
+	}
+	b.mu.Lock()
+	if err == nil && (l.dropped || b.closed) {
+		err = context.Canceled
+		raw.Close()
+	}
+	if err != nil {
+		b.Tally.DialFailed++
+		l.broke(logic.ConnectFailed)
+		return
+	}
+	conn.Guard(&b.mu, func() { l.stray = l.stray || l.state != busy })
+	l.conn, l.state = conn, busy
+	n, werr := conn.TryWrite(l.out)
+	l.sent, l.written = n, n == len(l.out)
+	if !l.written && werr == nil {
+		b.wait.Add(1)
+		go l.rest()
+	}
+	b.mu.Unlock()
+	r := http1.NewReader(conn)
+	var m http1.Message
+	for l.answer(r, &m) {
+	}
+}
+
+// rest writes what the socket did not take at once.
+func (l *line) rest() {
+	b := l.back
+	defer b.wait.Done()
+	b.mu.Lock()
+	conn, out := l.conn, l.out[l.sent:]
+	b.mu.Unlock()
+	_, err := conn.Write(out)
+	b.mu.Lock()
+	if err == nil && l.state == busy {
+		l.written = true
+	} else {
+		conn.Close()
+	}
+	b.mu.Unlock()
+}
+
+// answer waits for what comes next on the connection; false: it is over.
+func (l *line) answer(r *http1.Reader, m *http1.Message) bool {
+	b := l.back
+	err := r.Wait()
+	b.mu.Lock()
+	switch {
+	case l.state == over:
+		b.mu.Unlock()
+		return false
+	case l.state != busy: // closed while idle, or bytes that nobody asked for
+		if err == nil {
+			b.Tally.Surplus++
+		}
+		if l.state == told {
+			l.spent = true // its answer is still used
+			b.mu.Unlock()
+			return false
+		}
+		b.end(l)
+		b.mu.Unlock()
+		return false
+	case err != nil:
+		l.broke(logic.Reset)
+		return false
+	}
+	b.mu.Unlock()
+	err = r.Answer(m)
+	b.mu.Lock()
+	if _, spoilt := err.(*http1.Error); spoilt {
+		b.Tally.Spoilt++
+		l.broke(logic.Failed)
+		return false
+	} else if err != nil {
+		l.broke(logic.Reset)
+		return false
+	}
+	a, written := l.attempt, l.written
+	b.Tally.Answers++
+	l.spent = m.Close || r.Buffered() > 0 || !written
+	if r.Buffered() > 0 {
+		b.Tally.Surplus++
+	}
+	l.state = told
+	b.mu.Unlock()
+	b.sink.Ended(a, result(m, written, b.set.Fields))
+	return true
+}
+
+// broke ends a connection whose attempt is out, and lets go of the lock. What was not written to its end never ran.
+func (l *line) broke(how logic.Outcome) {
+	b, a := l.back, l.attempt
+	if how != logic.ConnectFailed {
+		b.Tally.Broken++
+		if !l.written {
+			how = logic.ConnectFailed
+		}
+	}
+	l.attempt = nil
+	b.end(l)
+	b.mu.Unlock()
+	b.sink.Ended(a, core.Result{Outcome: how, Load: logic.NoLoad})
+}
--- /dev/null
+++ b/seats/seats.go
@@ -0,0 +1,221 @@
+// Package seats decides on the connections of a front's clients: which are taken, which are closed when there are
+// too many or they take too long, how much their bodies may hold together, and how soon a client that comes back at
+// once is listened to again. It has no clock, goroutine or I/O.
+//
+// It guards against crowds that say nothing, heads that never end, and clients that repeat what was refused without
+// a pause; it could harm a client that needs seconds between connecting and asking.
+package seats
+
+import "appleplank/logic"
+
+const (
+	ms, sec logic.Micros = 1000, 1000 * 1000
+
+	// A client must have asked speakBy after it connected, and each request must be whole readBy after its first
+	// byte: what is owed in 3 s has room for a late look.
+	speakBy = 2500 * ms
+	readBy  = 2500 * ms
+	// An idle connection that has asked before is kept for idleMost, and for idleLeast where more than crowded of
+	// the seats are taken: a client that finds it closed asks again on a new one.
+	idleMost, idleLeast = 10 * sec, 2 * sec
+	crowded             = 0.5
+	// After an answer that ends a connection the client has lingerFor to read it.
+	lingerFor = 200 * ms
+	// A request that is the same as one refused less than atOnce before on its connection comes back at once: after
+	// its answer the connection is not listened to for a pause, doubling with each from firstRest to mostRest.
+	atOnce              = 20 * ms
+	firstRest, mostRest = 20 * ms, 640 * ms
+)
+
+// State is what a client's connection is at.
+type State uint8
+
+const (
+	Silent    State = iota // has sent nothing yet
+	Speaking               // in the middle of its first request
+	Resuming               // in the middle of a further one
+	Idle                   // has been answered
+	Open                   // a request is held
+	Lingering              // told that it ends
+	states
+)
+
+// Seat is a connection's place.
+type Seat struct {
+	Owner      any
+	state      State
+	since      logic.Micros
+	prev, next *Seat
+	body       int
+
+	refused logic.Micros // when it was listened to again after the last refusal; 0: there was none
+	what    uint64       // what was refused
+	rest    logic.Micros // pause after the answer to the request at hand
+	rests   int
+}
+
+// Table holds the seats.
+type Table struct {
+	most   int
+	bodies int // bytes that bodies may hold together
+	held   int
+	taken  int
+	lists  [states]list
+	Tally  Tally
+}
+
+// Tally counts what was decided.
+type Tally struct {
+	Taken, Turned, Displaced, Overdue, Rested uint64
+	Most                                      int // seats taken at once
+}
+
+type list struct{ first, last *Seat }
+
+// New makes a table of so many seats, whose bodies may hold so many bytes together.
+func New(most, bodies int) *Table { return &Table{most: most, bodies: bodies} }
+
+// Taken tells how many seats are.
+func (t *Table) Taken() int { return t.taken }
+
+// Take gives a new connection a seat. Where none is free the one that loses its own is out, to be closed: first who
+// has said nothing for longest, then who is longest in the middle of a first request, then who is idle for longest.
+// Where all others are in service the new one is turned away (nil).
+func (t *Table) Take(now logic.Micros, owner any) (s, out *Seat) {
+	if t.taken >= t.most {
+		for _, st := range []State{Lingering, Silent, Speaking, Idle} {
+			if out = t.lists[st].first; out != nil {
+				break
+			}
+		}
+		if out == nil {
+			t.Tally.Turned++
+			return nil, nil
+		}
+		t.Tally.Displaced++
+		t.Leave(out)
+	}
+	s = &Seat{Owner: owner, since: now}
+	t.push(s)
+	t.taken++
+	t.Tally.Taken++
+	t.Tally.Most = max(t.Tally.Most, t.taken)
+	return s, out
+}
+
+// Move says that a connection is at something else now.
+func (t *Table) Move(now logic.Micros, s *Seat, to State) {
+	if s.state == to && to != Idle || s.Gone() {
+		return
+	}
+	t.pull(s)
+	s.state, s.since = to, now
+	t.push(s)
+}
+
+// State is what the connection is at.
+func (s *Seat) State() State { return s.state }
+
+// Leave frees a seat; it does so once.
+func (t *Table) Leave(s *Seat) {
+	if s.Gone() {
+		return
+	}
+	t.Free(s)
+	t.pull(s)
+	s.since = -1
+	t.taken--
+}
+
+// Gone tells whether the seat was freed.
+func (s *Seat) Gone() bool { return s.since < 0 }
+
+// Hold takes room for a body; false: there is none, and the request must be refused.
+func (t *Table) Hold(s *Seat, bytes int) bool {
+	if t.held+bytes > t.bodies {
+		return false
+	}
+	s.body += bytes
+	t.held += bytes
+	return true
+}
+
+// Free gives the room of a seat's body back.
+func (t *Table) Free(s *Seat) {
+	t.held -= s.body
+	s.body = 0
+}
+
+// Overdue gives the next connection that has taken too long, nil where there is none. It must be closed, or moved to
+// Lingering.
+func (t *Table) Overdue(now logic.Micros) *Seat {
+	idle := idleMost
+	if float64(t.taken) > crowded*float64(t.most) {
+		idle = idleLeast
+	}
+	for st, most := range [...]logic.Micros{Silent: speakBy, Speaking: speakBy, Resuming: readBy, Idle: idle, Open: 0, Lingering: lingerFor} {
+		if s := t.lists[st].first; s != nil && most > 0 && now-s.since >= most {
+			if State(st) != Lingering {
+				t.Tally.Overdue++
+			}
+			return s
+		}
+	}
+	return nil
+}
+
+// Refused notes that a request was refused; what tells it from others.
+func (t *Table) Refused(now logic.Micros, s *Seat, what uint64) { s.refused, s.what = now+s.rest, what }
+
+// Rest is asked when a connection's next request has come: for how long it is not listened to after its answer.
+func (t *Table) Rest(now logic.Micros, s *Seat, what uint64) (rest logic.Micros) {
+	if s.refused == 0 || s.what != what || now-s.refused > atOnce {
+		s.rest, s.rests = 0, 0
+		return 0
+	}
+	s.rest = min(firstRest<<min(s.rests, 10), mostRest)
+	s.rests++
+	t.Tally.Rested++
+	return s.rest
+}
+
+func (t *Table) push(s *Seat) {
+	l := &t.lists[s.state]
+	s.prev, s.next = l.last, nil
+	if l.last != nil {
+		l.last.next = s
+	} else {
+		l.first = s
+	}
+	l.last = s
+}
+
+func (t *Table) pull(s *Seat) {
+	l := &t.lists[s.state]
+	if s.prev != nil {
+		s.prev.next = s.next
+	} else {
+		l.first = s.next
+	}
+	if s.next != nil {
+		s.next.prev = s.prev
+	} else {
+		l.last = s.prev
+	}
+	s.prev, s.next = nil, nil
+}
+
+// All gives every seat that is taken.
+func (t *Table) All() (out []*Seat) {
+	for i := range t.lists {
+		for s := t.lists[i].first; s != nil; s = s.next {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Busy tells whether any connection is in the middle of a request.
+func (t *Table) Busy() bool {
+	return t.lists[Speaking].first != nil || t.lists[Resuming].first != nil || t.lists[Open].first != nil
+}
--- /dev/null
+++ b/spares/spares.go
@@ -0,0 +1,142 @@
+// Package spares decides on the connections to targets that carry one request at a time: which idle one takes the
+// next, which are closed and when, and which gives way when there are too many. It has no clock, goroutine or I/O.
+package spares
+
+import "appleplank/logic"
+
+const (
+	ms logic.Micros = 1000
+
+	// A target closes what was idle for the settings' time, and what is written then is lost: ours are closed at
+	// idlePart of it. Harm: a target asked so seldom costs a new connection.
+	idlePart = 0.75
+	// settle is how long a connection rests after an answer before it takes the next request, where another can be
+	// had without one: what a target sends beyond its answer comes right behind it.
+	settle = 2 * ms
+)
+
+// Line is an idle connection.
+type Line struct {
+	Owner any
+	node  logic.NodeID
+	since logic.Micros
+	idle  bool
+}
+
+// Set holds the connections of one initiator to its targets.
+type Set struct {
+	most  int
+	idle  logic.Micros
+	open  int
+	nodes map[logic.NodeID][]*Line // idle, the longest first
+	Tally Tally
+}
+
+// Tally counts what was decided.
+type Tally struct {
+	Opened, Used, Aged, Displaced, Turned uint64
+	Most                                  int
+}
+
+// New makes a set for so many connections at most; targets close what was idle for the given time.
+func New(most int, idle logic.Micros) *Set {
+	return &Set{most: most, idle: logic.Micros(float64(idle) * idlePart), nodes: map[logic.NodeID][]*Line{}}
+}
+
+// Open tells how many connections there are, and how many of them are idle.
+func (s *Set) Open() (open, idle int) {
+	for _, l := range s.nodes {
+		idle += len(l)
+	}
+	return s.open, idle
+}
+
+// Pick takes the idle connection for a node's next request: of those that have settled the one used last, as the
+// others age out; nil: a new one is needed.
+func (s *Set) Pick(now logic.Micros, node logic.NodeID) *Line {
+	list := s.nodes[node]
+	for i := len(list) - 1; i >= 0; i-- {
+		if x := list[i]; now-x.since >= settle && now-x.since < s.idle {
+			s.take(x)
+			s.Tally.Used++
+			return x
+		}
+	}
+	return nil
+}
+
+// Dial asks for room for a new connection: where there is none the connection idle for longest is out, to be closed;
+// ok is false where none is idle.
+func (s *Set) Dial() (out *Line, ok bool) {
+	if s.open >= s.most {
+		for _, list := range s.nodes {
+			if len(list) > 0 && (out == nil || list[0].since < out.since || list[0].since == out.since && list[0].node < out.node) {
+				out = list[0]
+			}
+		}
+		if out == nil {
+			s.Tally.Turned++
+			return nil, false
+		}
+		s.Tally.Displaced++
+		s.Gone(out)
+	}
+	s.open++
+	s.Tally.Opened++
+	s.Tally.Most = max(s.Tally.Most, s.open)
+	return out, true
+}
+
+// Idle says that a connection has nothing out.
+func (s *Set) Idle(now logic.Micros, node logic.NodeID, l *Line) {
+	l.node, l.since, l.idle = node, now, true
+	s.nodes[node] = append(s.nodes[node], l)
+}
+
+// Gone says that a connection is closed or will be.
+func (s *Set) Gone(l *Line) {
+	if l.idle {
+		s.take(l)
+	}
+	s.open--
+}
+
+// Overdue gives the next connection that was idle for too long, taken out; nil: there is none.
+func (s *Set) Overdue(now logic.Micros) (out *Line) {
+	for _, list := range s.nodes {
+		if l := list[0]; now-l.since >= s.idle && (out == nil || l.node < out.node) {
+			out = l
+		}
+	}
+	if out != nil {
+		s.Tally.Aged++
+		s.Gone(out)
+	}
+	return out
+}
+
+// Forget gives the next idle connection of a node that is not used any more, taken out; nil: there is none.
+func (s *Set) Forget(node logic.NodeID) *Line {
+	list := s.nodes[node]
+	if len(list) == 0 {
+		return nil
+	}
+	s.Gone(list[0])
+	return list[0]
+}
+
+func (s *Set) take(l *Line) {
+	l.idle = false
+	list := s.nodes[l.node]
+	for i, x := range list {
+		if x == l {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(s.nodes, l.node)
+	} else {
+		s.nodes[l.node] = list
+	}
+}
