--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -14,6 +14,7 @@
 	"appleplank/internal/http1"
 	"appleplank/internal/platform/core"
 	"appleplank/internal/sock"
+	"appleplank/leave"
 	"appleplank/logic"
 	"appleplank/seats"
 
@@ -34,11 +35,11 @@
 	taker    Taker
 	log      *zap.Logger
 	ready    atomic.Bool
-	draining atomic.Bool
 	seed     maphash.Seed
 
 	mu    sync.Mutex // never held while the taker is called
 	seats *seats.Table
+	leave *leave.Leave
 	open  map[uint64]struct{} // ids of requests that are held, hashed
 	Tally Tally
 	swept *time.Timer
@@ -58,8 +59,8 @@
 const writeFor = 2 * time.Second
 
 // New serves the clients of a listener.
-func New(l net.Listener, s *Service, t Taker, table *seats.Table, log *zap.Logger) *Front {
-	f := &Front{listener: l, service: s, taker: t, seats: table, log: log, open: map[uint64]struct{}{}, seed: maphash.MakeSeed()}
+func New(l net.Listener, s *Service, t Taker, table *seats.Table, end *leave.Leave, log *zap.Logger) *Front {
+	f := &Front{listener: l, service: s, taker: t, seats: table, leave: end, log: log, open: map[uint64]struct{}{}, seed: maphash.MakeSeed()}
 	f.swept = time.AfterFunc(sweep, f.sweep)
 	return f
 }
@@ -106,8 +107,19 @@
 	}
 }
 
-// Drain goes on serving whoever still comes, and ends each connection with its next answer.
-func (f *Front) Drain() { f.draining.Store(true) }
+// Drain says that the front is to end; it goes on serving until [Front.Over].
+func (f *Front) Drain() {
+	f.mu.Lock()
+	f.leave.Told(f.taker.Now())
+	f.mu.Unlock()
+}
+
+// Over tells whether the front may be closed after Drain.
+func (f *Front) Over() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leave.Over(f.taker.Now(), f.seats.Taken(), f.seats.Busy())
+}
 
 // Close ends the listener and all connections; requests must have been answered.
 func (f *Front) Close() {
@@ -244,6 +256,11 @@
 	if c.seat.Gone() {
 		return displaced
 	}
+	room, ok := f.leave.Room(now, c.req.Left)
+	if !ok {
+		return &reject{503, "ending"}
+	}
+	c.req.Left = room
 	if _, open := f.open[id]; open {
 		return &reject{409, "a request with that id is open"}
 	}
@@ -296,7 +313,7 @@
 	if a.Verdict == core.Refused {
 		f.seats.Refused(now, c.seat, c.what)
 	}
-	last := c.ending || c.left || f.draining.Load()
+	last := c.ending || c.left || f.leave.Last(now)
 	c.out = appendAnswer(c.out[:0], a, last)
 	n, err := c.conn.TryWrite(c.out)
 	if err == nil && n < len(c.out) {
@@ -343,7 +360,7 @@
 	defer f.mu.Unlock()
 	f.Tally.Health++
 	text := healthy
-	if !f.ready.Load() || f.draining.Load() {
+	if !f.ready.Load() || f.leave.Last(now) {
 		text = unwell
 	}
 	n, err := c.conn.TryWrite(text)
@@ -410,13 +427,3 @@
 	b = append(b, "\r\n\r\n"...)
 	return append(b, r.why...)
 }
-
-// Stop takes no new connections.
-func (f *Front) Stop() { f.listener.Close() }
-
-// Busy tells whether a request is held or on its way in.
-func (f *Front) Busy() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.seats.Busy()
-}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,7 @@
 	"appleplank/internal/platform/discovery"
 	"appleplank/internal/platform/front"
 	"appleplank/internal/platform/target"
+	"appleplank/leave"
 	"appleplank/logic"
 	"appleplank/seats"
 
@@ -33,8 +34,8 @@
 	defaultMemory  = 512 // MB
 
 	healthPath = "/_health"
-	// comingFor is how long after SIGTERM connections may still come, lastly how long an answer may take to leave.
-	comingFor = 600 * time.Millisecond
+	// lookAgain is how often an end that was told is looked at.
+	lookAgain = 5 * time.Millisecond
 	// readyBy is how long discovery is waited for before the list that was known is used.
 	readyBy = time.Second
 )
@@ -92,10 +93,16 @@
 		service.Plans[x.Name] = i
 	}
 	table := seats.New(int(clientPart*float64(cfg.Limits.Sockets)), int(memory*bodyPart))
-	in.front = front.New(listener, service, in.shell, table, log)
+	longest := logic.Micros(0)
+	for _, x := range cfg.Logic.Classes {
+		longest = max(longest, x.Deadline)
+	}
+	in.front = front.New(listener, service, in.shell, table, leave.New(longest), log)
 	in.watch = discovery.New(cfg.Known, s.Zones, in.shell, in.front.Ready, log)
 	in.watch.Use(cfg.Discovery)
 	time.AfterFunc(readyBy, in.front.Ready)
+	log.Info("an initiator", zap.String("name", cfg.Name), zap.String("listen", cfg.Listen), zap.Any("limits", cfg.Limits),
+		zap.Duration("longest deadline", time.Duration(longest)*time.Microsecond), zap.Int("known targets", len(cfg.Known.Targets)))
 	return in, nil
 }
 
@@ -142,12 +149,11 @@
 func (in *Initiator) drain() {
 	in.log.Info("ending")
 	in.front.Drain()
-	time.Sleep(comingFor)
-	in.front.Stop()
-	for in.front.Busy() {
-		time.Sleep(5 * time.Millisecond)
+	for !in.front.Over() {
+		time.Sleep(lookAgain)
 	}
 	in.watch.Close()
 	in.front.Close()
 	in.shell.Close()
+	in.log.Info("ended")
 }
--- a/seats/seats.go
+++ b/seats/seats.go
@@ -215,7 +215,12 @@
 	return out
 }
 
-// Busy tells whether any connection is in the middle of a request.
-func (t *Table) Busy() bool {
-	return t.lists[Speaking].first != nil || t.lists[Resuming].first != nil || t.lists[Open].first != nil
+// Busy tells how many connections are in the middle of a request.
+func (t *Table) Busy() (n int) {
+	for _, st := range []State{Speaking, Resuming, Open} {
+		for s := t.lists[st].first; s != nil; s = s.next {
+			n++
+		}
+	}
+	return n
 }
