--- a/cmd/appleplank/initiator.go
+++ b/cmd/appleplank/initiator.go
@@ -1,18 +1,21 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"appleplank/internal/platform"
+	"appleplank/internal/platform/trace"
 
 	"github.com/spf13/cobra"
 	"go.uber.org/zap"
 )
 
 func initiatorCommand(logger func() (*zap.Logger, error)) *cobra.Command {
-	return &cobra.Command{
+	traced := false
+	c := &cobra.Command{
 		Use: "initiator", Short: "Run an initiator of the platform", Args: cobra.NoArgs,
 		Long: "Run an initiator of the platform, as its configuration file (ROUTER_CONFIG) says. SIGHUP takes a new file, whole\n" +
 			"or not at all. SIGTERM drains it: all it holds is answered, then it exits with status 0.",
@@ -26,11 +29,42 @@
 			defer log.Sync()
 			first, _, stop := untilSignal()
 			defer stop()
-			in, err := platform.New(os.Getenv, log)
+			var tr *trace.Writer
+			if traced {
+				tr = trace.New(os.Stderr)
+				stop := make(chan struct{})
+				defer close(stop)
+				go tr.Keep(stop)
+			}
+			in, err := platform.New(os.Getenv, tr, log)
 			if err != nil {
 				return err
 			}
 			return in.Run(first, reload)
 		},
 	}
+	c.Flags().BoolVar(&traced, "trace", false, "write what is believed of each attempt, and what passed on its socket, to standard error")
+	return c
+}
+
+func traceCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "trace LOG...", Short: "Hold what an initiator believed against what passed on its sockets", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, paths []string) error {
+			for _, path := range paths {
+				f, err := os.Open(path)
+				if err != nil {
+					return err
+				}
+				r, err := trace.Read(f)
+				f.Close()
+				if err != nil {
+					return fmt.Errorf("%s: %w", path, err)
+				}
+				fmt.Fprintln(c.OutOrStdout(), path)
+				r.Write(c.OutOrStdout())
+			}
+			return nil
+		},
+	}
 }
--- a/cmd/appleplank/main.go
+++ b/cmd/appleplank/main.go
@@ -24,7 +24,7 @@
 	level := root.PersistentFlags().String("log", "info", "least level of what is logged: debug, info, warn, error")
 	format := root.PersistentFlags().String("log-format", "text", "text or json")
 	logger := func() (*zap.Logger, error) { return newLogger(*level, *format) }
-	root.AddCommand(serveCommand(logger), checkCommand(), nodeCommand(logger), directoryCommand(logger), demoCommand(), stateCommand(), crossingCommand(), copiesCommand(), placeCommand(), catalogueCommand(), initiatorCommand(logger))
+	root.AddCommand(serveCommand(logger), checkCommand(), nodeCommand(logger), directoryCommand(logger), demoCommand(), stateCommand(), crossingCommand(), copiesCommand(), placeCommand(), catalogueCommand(), initiatorCommand(logger), traceCommand())
 	if err := root.Execute(); err != nil {
 		var quiet exitCode
 		if errors.As(err, &quiet) {
--- a/internal/drive/drive.go
+++ b/internal/drive/drive.go
@@ -22,6 +22,9 @@
 	place int  // in the heap, plus one; 0: not there
 }
 
+// Out tells whether logic still waits for its end.
+func (a *Attempt) Out() bool { return a.out }
+
 // Host is a logic.Host with what has happened and not been told to it yet.
 type Host struct {
 	*logic.Host
--- a/internal/drive/loop.go
+++ b/internal/drive/loop.go
@@ -73,7 +73,7 @@
 	l.catchUp()
 }
 
-// Close stops the timers. Nothing may be brought any more.
+// Close stops the timers. What is brought or fires after it still runs a step, but none is woken for.
 func (l *Loop[T]) Close() {
 	l.mu.Lock()
 	l.ended = true
@@ -113,7 +113,7 @@
 
 // run steps until nothing is left to do now.
 func (l *Loop[T]) run() {
-	for !l.ended {
+	for {
 		now := l.now()
 		if l.due.Swap(false) && l.armed > 0 {
 			if late := int64(now - l.armed); late > l.LateBy.Load() {
@@ -145,7 +145,7 @@
 }
 
 func (l *Loop[T]) arm(next logic.Micros) {
-	if next == 0 || l.armed != 0 && l.armed <= next {
+	if l.ended || next == 0 || l.armed != 0 && l.armed <= next {
 		return
 	}
 	l.armed = next
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -6,12 +6,12 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 
 	"appleplank/copies"
 	"appleplank/crossing"
 	"appleplank/internal/block"
+	"appleplank/internal/drive"
 	"appleplank/internal/settings"
 	"appleplank/logic"
 	"appleplank/ranges"
@@ -64,15 +64,11 @@
 // its deadline, its attempts as long as the back keeps them.
 type Core struct {
 	cfg     *settings.Config
-	host    *logic.Host
+	host    drive.Host
 	vols    []volume
 	pieces  map[logic.RequestID]*piece
 	lastID  uint64
 	nonce   uint64
-	due     dueHeap
-	wakes   []wake
-	events  []logic.Event
-	actions []logic.Action
 	out     []Action
 	before  []Action // those of the last Step, to be used again
 	pool    []*attempt
@@ -94,20 +90,11 @@
 	space  *slabs.Space // of a volume of objects
 }
 
-type wake struct {
-	at    logic.Micros
-	token uint32
-}
-
 // attempt is one Send of logic's.
 type attempt struct {
 	block.Attempt
 	p      *piece
-	number int
-	sent   logic.Micros
-	stopAt logic.Micros
-	told   bool // logic knows that it ended
-	place  int  // in the heap; below zero: not there
+	drive  drive.Attempt
 	volume int
 	class  int
 	reason Reason
@@ -126,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{cfg: cfg, host: host, pieces: map[logic.RequestID]*piece{}, nonce: nonce << 32, budget: budget,
+	c := &Core{cfg: cfg, host: drive.Host{Host: host}, pieces: map[logic.RequestID]*piece{}, nonce: nonce << 32, budget: budget,
 		nodes: map[logic.NodeID]logic.Node{}, home: map[int]bool{}, ready: map[int]bool{}, ledger: map[ledgerKey]*Crossed{}}
 	lastKey := uint64(0)
 	for i := range cfg.Volumes {
@@ -324,7 +311,7 @@
 	if p.op.fill != nil { // a queue of its own, so that it yields to the volume's
 		a.Volume, a.Plan = fillVolume|a.Volume, c.cfg.Copies.Plan
 	}
-	c.events = append(c.events, a)
+	c.host.Tell(a)
 }
 
 // Gone says that the client of a request has left. What is out runs on as logic decides.
@@ -344,7 +331,7 @@
 		}
 		p.answered = true
 		if !p.held {
-			c.events = append(c.events, logic.ClientGone{Request: p.id})
+			c.host.Tell(logic.ClientGone{Request: p.id})
 		}
 		c.forget(now, p)
 	}
@@ -354,10 +341,10 @@
 func (c *Core) Ended(now logic.Micros, b *block.Attempt, r block.Result) {
 	a := b.Owner.(*attempt)
 	c.crossed(now, a, r)
-	if a.told {
-		c.tally.LateEnds++
-	} else {
+	if c.host.Ended(&a.drive) {
 		c.tell(now, a, r)
+	} else {
+		c.tally.LateEnds++
 	}
 	c.recycle(a)
 }
@@ -372,10 +359,6 @@
 // tell gives logic the end of an attempt.
 func (c *Core) tell(now logic.Micros, a *attempt, r block.Result) {
 	p := a.p
-	a.told = true
-	if a.place >= 0 {
-		heap.Remove(&c.due, a.place)
-	}
 	c.tally.Outcomes[r.Outcome]++
 	c.tally.Out--
 	p.out--
@@ -393,8 +376,8 @@
 	if p.object != nil {
 		c.objectEnded(a, r.Outcome)
 	}
-	c.events = append(c.events, logic.AttemptEnded{
-		Request: p.id, Attempt: a.number, Node: a.Node, Outcome: r.Outcome, Took: now - a.sent,
+	c.host.Tell(logic.AttemptEnded{
+		Request: p.id, Attempt: a.drive.Number, Node: a.Node, Outcome: r.Outcome, Took: now - a.drive.Sent,
 		Settled: r.Outcome == logic.OK || p.answered, Elsewhere: int(r.Elsewhere / p.vol.UnitBytes), Load: r.Load,
 	})
 	if r.Outcome == logic.OK {
@@ -406,14 +389,14 @@
 // Nodes is news of the nodes.
 func (c *Core) Nodes(now logic.Micros, nodes []logic.Node) {
 	if len(nodes) > 0 {
-		c.events = append(c.events, logic.NodeList{Kind: logic.ListDelta, Nodes: nodes})
+		c.host.Tell(logic.NodeList{Kind: logic.ListDelta, Nodes: nodes})
 		c.zones(now, nodes)
 	}
 }
 
 // Next is when Step must be called at the latest; 0: not before something happens.
 func (c *Core) Next() (at logic.Micros) {
-	if len(c.events) > 0 || len(c.out) > 0 {
+	if len(c.out) > 0 {
 		return 1
 	}
 	soon := func(t logic.Micros) {
@@ -421,12 +404,7 @@
 			at = t
 		}
 	}
-	if len(c.due) > 0 {
-		soon(c.due[0].stopAt)
-	}
-	for _, w := range c.wakes {
-		soon(w.at)
-	}
+	soon(c.host.Next())
 	for i := range c.vols {
 		for _, o := range c.vols[i].orders {
 			soon(o.Next())
@@ -438,9 +416,10 @@
 
 // Step lets all that has happened by now take its effect. The actions are valid until the next Step.
 func (c *Core) Step(now logic.Micros) []Action {
-	for len(c.due) > 0 && c.due[0].stopAt <= now {
-		a := c.due[0]
+	for due := c.host.Overdue(now); due != nil; due = c.host.Overdue(now) {
+		a := due.Owner.(*attempt)
 		c.out = append(c.out, Action{Kind: Drop, Attempt: &a.Attempt})
+		c.host.Ended(due)
 		c.tell(now, a, block.Result{Outcome: logic.TimedOut, Load: logic.NoLoad})
 	}
 	for i := range c.vols {
@@ -449,23 +428,10 @@
 			o.Free(now, func(id logic.RequestID, key uint64) { c.arrive(c.pieces[id], key) })
 		}
 	}
-	keep := c.wakes[:0]
-	for _, w := range c.wakes {
-		if w.at <= now {
-			c.events = append(c.events, logic.TimerFired{Token: w.token})
-		} else {
-			keep = append(keep, w)
-		}
-	}
-	c.wakes = keep
-	c.actions = c.host.Step(now, c.events, c.actions[:0])
-	clear(c.events)
-	c.events = c.events[:0]
-	for _, x := range c.actions {
+	for _, x := range c.host.Run(now) {
 		c.act(now, x)
 	}
 	c.tend(now) // after logic has heard of the nodes
-	clear(c.actions)
 	out := c.out
 	clear(c.before)
 	c.out, c.before = c.before[:0], out
@@ -482,8 +448,7 @@
 		c.refuse(now, x.Request, ranges.Refused, x.CoolDown)
 	case logic.Surrender:
 		c.refuse(now, x.Request, ranges.Failed, 0)
-	case logic.Wake:
-		c.wakes = append(c.wakes, wake{now + x.After, x.Token})
+	case logic.Wake: // seen to by drive
 	case logic.Note:
 		c.out = append(c.out, Action{Kind: Note, Text: x.Text})
 	case logic.Abort, logic.Probe, logic.Watch, logic.Fetch:
@@ -508,11 +473,12 @@
 	}
 	a := c.newAttempt()
 	op := p.op
-	a.p, a.number, a.sent, a.stopAt, a.told = p, p.tries-p.before, now, p.dropDead, false
+	a.p = p
+	a.drive.Request, a.drive.Number, a.drive.Node, a.drive.Sent, a.drive.StopAt = p.id, p.tries-p.before, s.Node, now, p.dropDead
 	a.reason = c.reason(p)
 	a.volume, a.class, a.asked, p.asked = op.Volume, op.Class, p.asked, 0
 	if s.StopAt > 0 {
-		a.stopAt = min(a.stopAt, s.StopAt)
+		a.drive.StopAt = min(a.drive.StopAt, s.StopAt)
 	}
 	a.Node, a.Kind, a.Len, a.Offset, a.At, a.Key = s.Node, op.Kind, p.len, 0, 0, 0
 	room := true
@@ -560,7 +526,7 @@
 		}
 		a.Buffer = block.NewBuffer(p.len, p.vol.memory.Release)
 	}
-	heap.Push(&c.due, a)
+	c.host.Sent(&a.drive)
 	c.out = append(c.out, Action{Kind: Start, Attempt: &a.Attempt, Op: op})
 }
 
@@ -570,8 +536,8 @@
 		c.pool = c.pool[:n-1]
 		return a
 	}
-	a := &attempt{place: -1}
-	a.Owner = a
+	a := &attempt{}
+	a.Owner, a.drive.Owner = a, a
 	return a
 }
 
@@ -650,29 +616,3 @@
 	}
 	op.Release()
 }
-
-// dueHeap holds attempts by the time they are given up.
-type dueHeap []*attempt
-
-func (h dueHeap) Len() int { return len(h) }
-func (h dueHeap) Less(i, j int) bool {
-	a, b := h[i], h[j]
-	return cmp.Or(cmp.Compare(a.stopAt, b.stopAt), cmp.Compare(a.p.id, b.p.id), cmp.Compare(a.number, b.number)) < 0
-}
-func (h dueHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
-}
-func (h *dueHeap) Push(x any) {
-	a := x.(*attempt)
-	a.place = len(*h)
-	*h = append(*h, a)
-}
-func (h *dueHeap) Pop() any {
-	old := *h
-	a := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	a.place = -1
-	return a
-}
--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -147,7 +147,7 @@
 			a := w.out[i]
 			w.out = append(w.out[:i], w.out[i+1:]...)
 			x := a.Owner.(*attempt)
-			if !x.told && o != logic.Full && o != logic.Moot && o != logic.ConnectFailed {
+			if x.drive.Out() && o != logic.Full && o != logic.Moot && o != logic.ConnectFailed {
 				if cl := w.live[x.p.op]; cl != nil {
 					cl.mayHave, cl.pieces[x.p] = true, true
 				}
@@ -207,8 +207,9 @@
 		}
 		w.pass(1_000_000)
 		tally := core.Tally()
-		if tally.Ops != 0 || tally.Pieces != 0 || tally.Out != 0 || tally.Attempts != 0 || w.bytes != 0 || len(core.due) != 0 {
-			t.Fatalf("left behind: %+v, %d bytes, %d timers", tally, w.bytes, len(core.due))
+		due, _ := core.host.Held()
+		if tally.Ops != 0 || tally.Pieces != 0 || tally.Out != 0 || tally.Attempts != 0 || w.bytes != 0 || due != 0 {
+			t.Fatalf("left behind: %+v, %d bytes, %d timers", tally, w.bytes, due)
 		}
 		for i := range core.vols {
 			if l, h, r := core.vols[i].orders[0].Len(); l+h+r != 0 {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"appleplank/crossing"
 	"appleplank/internal/block"
+	"appleplank/internal/drive"
 	"appleplank/internal/settings"
 	"appleplank/logic"
 
@@ -14,9 +14,8 @@
 	"golang.org/x/sync/semaphore"
 )
 
-// Engine gives a [Core] real time and sockets. There is no goroutine of its own: whoever brings something that
-// happened also runs the core, or leaves it to the one who does so at the moment. So all that is ready at a time
-// goes into one Step, and a request passes from ring to socket without waiting for another goroutine.
+// Engine gives a [Core] real time and sockets, by a [drive.Loop]: a request passes from ring to socket without
+// waiting for another goroutine.
 type Engine struct {
 	core  *Core
 	back  block.Back
@@ -24,15 +23,8 @@
 	log   *zap.Logger
 	epoch time.Time
 
-	mu    sync.Mutex // the core; held for a Step and its actions, none of which waits for a peer
-	timer *time.Timer
-	armed logic.Micros // 0: the timer is off
-	ended bool
-
-	inMu sync.Mutex
-	in   []input
-	work []input // under mu
-	left []*Op   // under mu: given up by their fronts in the batch at hand
+	loop *drive.Loop[input]
+	left []*Op // given up by their fronts in the batch at hand
 	idle chan struct{}
 	cold bool // idle is to be closed when nothing is held
 }
@@ -54,7 +46,6 @@
 	nodes
 	kept
 	freed
-	tick
 )
 
 // input is something that happened. What is queued is bounded by what is out: an op is taken and gone once, an
@@ -82,8 +73,7 @@
 		return nil, err
 	}
 	e := &Engine{core: core, log: log, epoch: time.Now().Add(-clockStart), idle: make(chan struct{})}
-	e.timer = time.AfterFunc(time.Hour, func() { e.post(input{kind: tick}) })
-	e.timer.Stop()
+	e.loop = drive.NewLoop(e.Now, 0, e.step)
 	return e, nil
 }
 
@@ -94,40 +84,34 @@
 func (e *Engine) SetMarks(m Marks) { e.marks = m }
 
 // Kept says how keeping a mark has gone.
-func (e *Engine) Kept(m Mark, ok bool) { e.post(input{kind: kept, mark: m, ok: ok}) }
+func (e *Engine) Kept(m Mark, ok bool) { e.loop.Post(input{kind: kept, mark: m, ok: ok}) }
 
 // RememberMark gives the engine a mark of an earlier process, before anything is brought.
-func (e *Engine) RememberMark(m Mark) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.core.RememberMark(m)
+func (e *Engine) RememberMark(m Mark) (err error) {
+	e.loop.With(func(logic.Micros) { err = e.core.RememberMark(m) })
+	return err
 }
 
 // TakeSpace marks what an object lies on as used, before anything is brought.
-func (e *Engine) TakeSpace(volume int, at, n int64) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.core.TakeSpace(volume, at, n)
+func (e *Engine) TakeSpace(volume int, at, n int64) (err error) {
+	e.loop.With(func(logic.Micros) { err = e.core.TakeSpace(volume, at, n) })
+	return err
 }
 
 // FreeSpace gives an object's bytes back. Nobody may read them any more.
-func (e *Engine) FreeSpace(volume int, at int64) { e.post(input{kind: freed, volume: volume, at: at}) }
+func (e *Engine) FreeSpace(volume int, at int64) {
+	e.loop.Post(input{kind: freed, volume: volume, at: at})
+}
 
 // Space tells the free and used bytes of a volume of objects.
 func (e *Engine) Space(volume int) (free, used int64) {
-	e.mu.Lock()
-	free, used = e.core.Space(e.Now(), volume)
-	e.mu.Unlock()
-	e.catchUp()
+	e.loop.With(func(now logic.Micros) { free, used = e.core.Space(now, volume) })
 	return free, used
 }
 
 // Mirrors tells how the copies of mirrored extents are.
-func (e *Engine) Mirrors() []Mirrored {
-	e.mu.Lock()
-	m := e.core.Mirrors()
-	e.mu.Unlock()
-	e.catchUp()
+func (e *Engine) Mirrors() (m []Mirrored) {
+	e.loop.With(func(logic.Micros) { m = e.core.Mirrors() })
 	return m
 }
 
@@ -138,86 +122,71 @@
 func (e *Engine) Memory(volume int) *semaphore.Weighted { return e.core.Memory(volume) }
 
 // Take hands a request over; its front hears of the answer exactly once.
-func (e *Engine) Take(op *Op) { e.post(input{kind: taken, op: op}) }
+func (e *Engine) Take(op *Op) { e.loop.Post(input{kind: taken, op: op}) }
 
 // Gone says that the client of a request has left, and passes the front's hold on it to the engine. The front must
 // not have heard of an answer, and takes none from then on.
-func (e *Engine) Gone(op *Op) { e.post(input{kind: gone, op: op}) }
+func (e *Engine) Gone(op *Op) { e.loop.Post(input{kind: gone, op: op}) }
 
 // AttemptEnded implements [block.Sink].
 func (e *Engine) AttemptEnded(a *block.Attempt, r block.Result) {
-	e.post(input{kind: ended, attempt: a, result: r})
+	e.loop.Post(input{kind: ended, attempt: a, result: r})
 }
 
 // Nodes gives news of the nodes.
-func (e *Engine) Nodes(list []logic.Node) { e.post(input{kind: nodes, nodes: list}) }
+func (e *Engine) Nodes(list []logic.Node) { e.loop.Post(input{kind: nodes, nodes: list}) }
 
 // Remember gives the engine what an earlier process has learned, before anything is brought. Rest is set where that
 // process may have left attempts at nodes.
-func (e *Engine) Remember(m *logic.Memory, rest bool) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.Now()
-	if rest {
-		e.core.Rest(now)
-	}
-	if m == nil {
-		return nil
-	}
-	return e.core.Remember(now, *m)
+func (e *Engine) Remember(m *logic.Memory, rest bool) (err error) {
+	e.loop.With(func(now logic.Micros) {
+		if rest {
+			e.core.Rest(now)
+		}
+		if m != nil {
+			err = e.core.Remember(now, *m)
+		}
+	})
+	return err
 }
 
 // Crossing tells what crossed and what is left of the budget.
 func (e *Engine) Crossing() (rows []Crossed, m crossing.Memory) {
-	e.mu.Lock()
-	rows, m = e.core.Crossing(e.Now())
-	e.mu.Unlock()
-	e.catchUp()
+	e.loop.With(func(now logic.Micros) { rows, m = e.core.Crossing(now) })
 	return rows, m
 }
 
 // RememberCrossing gives the engine what an earlier process has counted and left, before anything is brought.
-func (e *Engine) RememberCrossing(rows []Crossed, m *crossing.Memory, age logic.Micros) error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.core.RememberCrossing(rows, m, age)
+func (e *Engine) RememberCrossing(rows []Crossed, m *crossing.Memory, age logic.Micros) (err error) {
+	e.loop.With(func(logic.Micros) { err = e.core.RememberCrossing(rows, m, age) })
+	return err
 }
 
 // Quiet tells whether nothing is held, and nothing that was sent may still run at a node.
-func (e *Engine) Quiet() bool {
-	e.mu.Lock()
-	quiet := e.core.Quiet()
-	e.mu.Unlock()
-	e.catchUp()
+func (e *Engine) Quiet() (quiet bool) {
+	e.loop.With(func(logic.Micros) { quiet = e.core.Quiet() })
 	return quiet
 }
 
 // Learned copies what has been learned, and the time of it.
 func (e *Engine) Learned() (m logic.Memory, now logic.Micros) {
-	e.mu.Lock()
-	now = e.Now()
-	m = e.core.Learned(now)
-	e.mu.Unlock()
-	e.catchUp()
+	e.loop.With(func(at logic.Micros) { m, now = e.core.Learned(at), at })
 	return m, now
 }
 
 // Tally tells the counts so far.
-func (e *Engine) Tally() Tally {
-	e.mu.Lock()
-	t := e.core.Tally()
-	e.mu.Unlock()
-	e.catchUp()
+func (e *Engine) Tally() (t Tally) {
+	e.loop.With(func(logic.Micros) { t = e.core.Tally() })
 	return t
 }
 
 // Drained waits until nothing is held any more, or ctx ends. Fronts must have stopped taking.
 func (e *Engine) Drained(ctx context.Context) error {
-	e.mu.Lock()
-	e.cold = true
-	e.core.Still()
-	e.mu.Unlock()
-	e.post(input{kind: tick})
+	e.loop.With(func(logic.Micros) {
+		e.cold = true
+		e.core.Still()
+	})
+	e.loop.Kick()
 	select {
 	case <-e.idle:
 		return nil
@@ -227,106 +196,55 @@
 }
 
 // Close stops the timer. Nothing may be brought any more.
-func (e *Engine) Close() {
-	e.mu.Lock()
-	e.ended = true
-	e.timer.Stop()
-	e.mu.Unlock()
-}
-
-func (e *Engine) post(in input) {
-	e.inMu.Lock()
-	e.in = append(e.in, in)
-	e.inMu.Unlock()
-	e.catchUp()
-}
-
-// catchUp runs the core while something is brought and nobody else runs it. Whoever has held the lock calls it after
-// letting go, so nothing stays behind.
-func (e *Engine) catchUp() {
-	for e.pending() && e.mu.TryLock() {
-		e.run()
-		e.mu.Unlock()
-	}
-}
-
-func (e *Engine) pending() bool {
-	e.inMu.Lock()
-	defer e.inMu.Unlock()
-	return len(e.in) > 0
-}
-
-// run lets the core take what was brought and carries out what it wants, until nothing is left to do now.
-func (e *Engine) run() {
-	for {
-		e.inMu.Lock()
-		e.in, e.work = e.work[:0], e.in
-		e.inMu.Unlock()
-		now := e.Now()
-		if len(e.work) == 0 {
-			if next := e.core.Next(); next == 0 || next > now {
-				e.arm(now, next)
-				break
-			}
-		}
-		for i := range e.work {
-			switch in := &e.work[i]; in.kind {
-			case taken:
-				e.core.Take(now, in.op)
-			case gone:
-				e.core.Gone(now, in.op)
-				e.left = append(e.left, in.op)
-			case ended:
-				e.core.Ended(now, in.attempt, in.result)
-			case nodes:
-				e.core.Nodes(now, in.nodes)
-			case freed:
-				e.core.FreeSpace(now, in.volume, in.at)
-			case kept:
-				e.core.Kept(now, in.mark, in.ok)
-			case tick:
-				e.armed = 0
-			}
+func (e *Engine) Close() { e.loop.Close() }
+
+// step lets the core take what was brought, and carries out what it wants.
+func (e *Engine) step(now logic.Micros, in []input) logic.Micros {
+	for i := range in {
+		switch in := &in[i]; in.kind {
+		case taken:
+			e.core.Take(now, in.op)
+		case gone:
+			e.core.Gone(now, in.op)
+			e.left = append(e.left, in.op)
+		case ended:
+			e.core.Ended(now, in.attempt, in.result)
+		case nodes:
+			e.core.Nodes(now, in.nodes)
+		case freed:
+			e.core.FreeSpace(now, in.volume, in.at)
+		case kept:
+			e.core.Kept(now, in.mark, in.ok)
 		}
-		clear(e.work)
-		for _, a := range e.core.Step(now) {
-			switch a.Kind {
-			case Start:
-				if a.Op.Front != nil {
-					a.Op.Front.Sending(a.Op, a.Attempt.Node)
-				}
-				e.back.Start(a.Attempt)
-			case Drop:
-				e.back.Drop(a.Attempt)
-			case Finish:
-				a.Op.Front.Done(a.Op)
-			case Note:
-				e.log.Info(a.Text)
-			case Keep:
-				e.marks.Keep(a.Mark)
-			case Forget:
-				e.marks.Forget(a.Mark)
+	}
+	for _, a := range e.core.Step(now) {
+		switch a.Kind {
+		case Start:
+			if a.Op.Front != nil {
+				a.Op.Front.Sending(a.Op, a.Attempt.Node)
 			}
+			e.back.Start(a.Attempt)
+		case Drop:
+			e.back.Drop(a.Attempt)
+		case Finish:
+			a.Op.Front.Done(a.Op)
+		case Note:
+			e.log.Info(a.Text)
+		case Keep:
+			e.marks.Keep(a.Mark)
+		case Forget:
+			e.marks.Forget(a.Mark)
 		}
-		// Only now: an answer may have been on its way to a front that had given its request up.
-		for i, op := range e.left {
-			op.Release()
-			e.left[i] = nil
-		}
-		e.left = e.left[:0]
 	}
-	if e.cold {
-		if e.core.tally.Ops == 0 { // attempts without an answer that nobody waits for end with their connections
-			e.cold = false
-			close(e.idle)
-		}
+	// Only now: an answer may have been on its way to a front that had given its request up.
+	for i, op := range e.left {
+		op.Release()
+		e.left[i] = nil
 	}
-}
-
-func (e *Engine) arm(now, next logic.Micros) {
-	if e.ended || next == 0 || e.armed != 0 && e.armed <= next {
-		return
+	e.left = e.left[:0]
+	if e.cold && e.core.tally.Ops == 0 { // attempts without an answer that nobody waits for end with their connections
+		e.cold = false
+		close(e.idle)
 	}
-	e.armed = next
-	e.timer.Reset(time.Duration(next-now) * time.Microsecond)
+	return e.core.Next()
 }
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,238 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+func request(s string) (*Message, *Reader, error) {
+	r, m := NewReader(strings.NewReader(s)), new(Message)
+	return m, r, r.Request(m)
+}
+
+func TestRequests(t *testing.T) {
+	m, r, err := request("PUT /a/b?c=d HTTP/1.1\r\nHost: x\r\nRequest-Id:  7 \r\nContent-Length: 3\r\n\r\nabcGET")
+	if err != nil || string(m.Method) != "PUT" || string(m.Target) != "/a/b?c=d" || string(m.Get("request-id")) != "7" ||
+		string(m.Body) != "abc" || r.Buffered() != 3 || m.Close {
+		t.Fatalf("%v %+v %d", err, m, r.Buffered())
+	}
+	m, _, err = request("PUT / HTTP/1.1\r\nhost: x\r\nTransfer-Encoding: Chunked\r\nConnection: a, Close\r\n\r\n3\r\nabc\r\n0A\r\n0123456789\r\n0\r\n\r\n")
+	if err != nil || string(m.Body) != "abc0123456789" || !m.Close {
+		t.Fatalf("%v %q", err, m.Body)
+	}
+}
+
+// What two readers could frame differently, or what cannot be read, is refused before anything of it is used.
+func TestBadRequests(t *testing.T) {
+	head := "PUT /a HTTP/1.1\r\nHost: x\r\n"
+	for name, c := range map[string]struct {
+		in     string
+		status int
+	}{
+		"both lengths":         {head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		"both, turned":         {head + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc", 400},
+		"two lengths":          {head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400},
+		"list of lengths":      {head + "Content-Length: 3, 3\r\n\r\nabc", 400},
+		"signed":               {head + "Content-Length: +3\r\n\r\nabc", 400},
+		"negative":             {head + "Content-Length: -3\r\n\r\nabc", 400},
+		"hex":                  {head + "Content-Length: 0x3\r\n\r\nabc", 400},
+		"empty length":         {head + "Content-Length:\r\n\r\nabc", 400},
+		"huge":                 {head + "Content-Length: 99999999999999999999999\r\n\r\n", 400},
+		"60 MB":                {head + "Content-Length: 60000000\r\n\r\n", 413},
+		"coding unknown":       {head + "Transfer-Encoding: gzip, chunked\r\n\r\n", 400},
+		"coding twice":         {head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		"coding with tab":      {head + "Transfer-Encoding: \x0bchunked\r\n\r\n0\r\n\r\n", 400},
+		"space before colon":   {head + "Content-Length : 3\r\n\r\nabc", 400},
+		"folded":               {head + "A: b\r\n c\r\n\r\n", 400},
+		"bare LF":              {"PUT /a HTTP/1.1\nHost: x\n\n", 400},
+		"bare CR":              {"PUT /a HTTP/1.1\r\nHost: x\rA: b\r\n\r\n", 400},
+		"noise":                {"\x16\x03\x01\x02\x00", 400},
+		"nul":                  {head + "A: \x00\r\n\r\n", 400},
+		"empty line first":     {"\r\n" + head + "\r\n", 400},
+		"no version":           {"PUT /a\r\nHost: x\r\n\r\n", 400},
+		"old version":          {"PUT /a HTTP/1.0\r\nHost: x\r\n\r\n", 505},
+		"no path":              {"PUT a HTTP/1.1\r\nHost: x\r\n\r\n", 400},
+		"two spaces":           {"PUT  /a HTTP/1.1\r\nHost: x\r\n\r\n", 400},
+		"no host":              {"PUT /a HTTP/1.1\r\n\r\n", 400},
+		"two hosts":            {head + "Host: y\r\n\r\n", 400},
+		"no name":              {head + ": b\r\n\r\n", 400},
+		"long head":            {head + "A: " + strings.Repeat("x", MaxHead), 431},
+		"many fields":          {head + strings.Repeat("A: b\r\n", MaxFields) + "\r\n", 431},
+		"chunk size":           {head + "Transfer-Encoding: chunked\r\n\r\ng\r\n", 400},
+		"chunk size signed":    {head + "Transfer-Encoding: chunked\r\n\r\n+1\r\na\r\n0\r\n\r\n", 400},
+		"chunk size long":      {head + "Transfer-Encoding: chunked\r\n\r\n000000001\r\na\r\n0\r\n\r\n", 400},
+		"chunk lies":           {head + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n", 400},
+		"chunk extension":      {head + "Transfer-Encoding: chunked\r\n\r\n1;a=b\r\na\r\n0\r\n\r\n", 400},
+		"chunk with bare LF":   {head + "Transfer-Encoding: chunked\r\n\r\n1\na\n0\n\n", 400},
+		"chunks too long":      {head + "Transfer-Encoding: chunked\r\n\r\nFFFFFFF\r\n", 413},
+		"trailer":              {head + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n\r\n", 400},
+		"chunked far too much": {head + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("8000\r\n"+strings.Repeat("x", 0x8000)+"\r\n", 3), 413},
+	} {
+		_, _, err := request(c.in)
+		var odd *Error
+		if !errors.As(err, &odd) || odd.Status != c.status {
+			t.Errorf("%s: %v, want status %d", name, err, c.status)
+		}
+	}
+	for _, in := range []string{"PUT /a HT", head + "Content-Length: 3\r\n\r\nab", head + "Transfer-Encoding: chunked\r\n\r\n5\r\nab"} {
+		if _, _, err := request(in); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%q cut off: %v", in, err)
+		}
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	r := NewReader(strings.NewReader("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 503\r\nContent-Length: 0\r\n\r\n"))
+	m := new(Message)
+	if err := r.Answer(m); err != nil || m.Status != 200 || string(m.Body) != "ok" {
+		t.Fatal(err, m.Status, string(m.Body))
+	}
+	if err := r.Answer(m); err != nil || m.Status != 503 || len(m.Body) != 0 {
+		t.Fatal(err, m.Status)
+	}
+	for name, in := range map[string]string{
+		"noise":            "\x01\x02\x03",
+		"endless head":     "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", MaxHead),
+		"3 GB":             "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+		"until close":      "HTTP/1.1 200 OK\r\n\r\nbody",
+		"no status":        "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
+		"status too long":  "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n",
+		"status 700":       "HTTP/1.1 700 OK\r\nContent-Length: 0\r\n\r\n",
+		"other protocol":   "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"protocol changes": "HTTP/1.1 101 Switching\r\n\r\n",
+		"only interim":     strings.Repeat("HTTP/1.1 102 Wait\r\n\r\n", 20),
+		"both lengths":     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"204 with a body":  "HTTP/1.1 204 None\r\nContent-Length: 3\r\n\r\nabc",
+	} {
+		var odd *Error
+		if err := NewReader(strings.NewReader(in)).Answer(m); !errors.As(err, &odd) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Wait tells that more has come and leaves the message at hand as it is.
+func TestWaitKeepsTheMessage(t *testing.T) {
+	from, to := io.Pipe()
+	r, m := NewReader(from), new(Message)
+	body := strings.Repeat("x", 900)
+	go func() {
+		fmt.Fprintf(to, "PUT /a HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		io.WriteString(to, "GET /second HTTP/1.1\r\nHost: y\r\n\r\n")
+		to.Close()
+	}()
+	if err := r.Request(m); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Wait(); err != nil || string(m.Target) != "/a" || string(m.Body) != body {
+		t.Fatal(err, string(m.Target))
+	}
+	if err := r.Request(m); err != nil || string(m.Target) != "/second" {
+		t.Fatal(err, string(m.Target))
+	}
+	if err := r.Wait(); err != io.EOF {
+		t.Fatal(err)
+	}
+}
+
+func TestStream(t *testing.T) {
+	r, m := NewReader(iotest.OneByteReader(strings.NewReader("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab\nc\r\n1\r\n\n\r\n0\r\n\r\n"))), new(Message)
+	if err := r.AnswerHead(m); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := io.ReadAll(r.Body(m)); err != nil || string(b) != "ab\nc\n" {
+		t.Fatalf("%q %v", b, err)
+	}
+}
+
+// pieces gives its bytes in pieces of the sizes that seed says.
+type pieces struct {
+	b    []byte
+	seed byte
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	if len(p.b) == 0 {
+		return 0, io.EOF
+	}
+	p.seed = p.seed*31 + 7
+	n := copy(b, p.b[:min(1+int(p.seed%13), len(p.b))])
+	p.b = p.b[n:]
+	return n, nil
+}
+
+// whole reads all messages of b and writes down what they were.
+func whole(src io.Reader, read func(*Reader, *Message) error, t *testing.T) string {
+	r, m := NewReader(src), new(Message)
+	var out strings.Builder
+	for range 50 {
+		err := read(r, m)
+		if cap(r.buf) > 2*(MaxHead+MaxBody) {
+			t.Fatalf("%d bytes held", cap(r.buf))
+		}
+		if err != nil {
+			var odd *Error
+			if errors.As(err, &odd) {
+				fmt.Fprint(&out, odd)
+			} else {
+				fmt.Fprint(&out, "cut off")
+			}
+			break
+		}
+		if len(m.Body) > MaxBody || len(m.Fields) > MaxFields {
+			t.Fatal("beyond the bounds")
+		}
+		if n, c := m.Count("content-length"), m.Count("transfer-encoding"); n+c > 1 {
+			t.Fatal("two lengths were taken")
+		}
+		fmt.Fprintf(&out, "%q %q %d %q %q %v\n", m.Method, m.Target, m.Status, m.Fields, m.Body, m.Close)
+	}
+	return out.String()
+}
+
+func fuzz(f *testing.F, read func(*Reader, *Message) error) {
+	f.Fuzz(func(t *testing.T, b []byte, seed byte) {
+		once := whole(bytes.NewReader(b), read, t)
+		if parts := whole(&pieces{bytes.Clone(b), seed}, read, t); once != parts {
+			t.Fatalf("whole: %s\nin pieces: %s", once, parts)
+		}
+	})
+}
+
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte("PUT /a/b HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: x\r\n\r\n"), byte(1))
+	f.Add([]byte("PUT / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nPUT / HTTP/1.1\r\nHost: x\r\n\r\n"), byte(2))
+	fuzz(f, (*Reader).Request)
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"), byte(3))
+	fuzz(f, (*Reader).Answer)
+}
+
+func BenchmarkRequest(b *testing.B) {
+	one := []byte("PUT /checkout/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api\r\nRequest-Id: 9b1f03aa5c7e2d41\r\nRequest-Class: checkout\r\nX-Storage-Class: gold\r\nRequest-Timeout: 480m\r\nContent-Length: 3\r\nX-Extent: volume=00000003b4d60021,units=2,shard=5,hosts=3\r\n\r\nabc")
+	b.ReportAllocs()
+	r, m := NewReader(&again{b: one}), new(Message)
+	for b.Loop() {
+		if err := r.Request(m); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+type again struct {
+	b  []byte
+	at int
+}
+
+func (a *again) Read(p []byte) (int, error) {
+	n := copy(p, a.b[a.at:])
+	a.at = (a.at + n) % len(a.b)
+	return n, nil
+}
--- a/internal/platform/core/core.go
+++ b/internal/platform/core/core.go
@@ -7,6 +7,7 @@
 	"fmt"
 
 	"appleplank/internal/drive"
+	"appleplank/internal/platform/trace"
 	"appleplank/logic"
 	"appleplank/members"
 )
@@ -54,7 +55,7 @@
 	attempt []*Attempt // pools
 	entry   []*entry
 	tally   Tally
-	trace   func(now logic.Micros, line Trace)
+	trace   *trace.Writer // nil: off
 }
 
 // entry is what logic calls a request.
@@ -66,19 +67,6 @@
 	dropDead logic.Micros
 	out      int // attempts logic waits for
 	sends    int
-	name     string // its client's id, where there is a trace
-}
-
-// Trace is one thing that the core believes, to be held against what passed on the sockets.
-type Trace struct {
-	What    string // taken, send, end, late, answer, gone
-	Request string
-	Number  int // of the attempt
-	Node    logic.NodeID
-	Outcome logic.Outcome
-	Verdict Verdict
-	Took    logic.Micros
-	Load    logic.Load
 }
 
 // New makes a core that holds at most openCap requests without an answer; 0: no bound.
@@ -110,10 +98,7 @@
 	c.entries[e.id] = e
 	c.tally.Taken++
 	c.tally.Held++
-	if c.trace != nil {
-		e.name = string(r.ID)
-		c.trace(now, Trace{What: "taken", Request: e.name})
-	}
+	c.note(now, "taken", e.id, 0, 0, "-", 0, logic.NoLoad)
 	c.host.Tell(logic.Arrival{
 		Request: e.id, Class: r.Class, Cell: r.Cell, Key: r.Block, Volume: r.Volume, Plan: r.Plan,
 		Attached: r.Attached, Units: r.Units, DropDead: e.dropDead,
@@ -128,9 +113,7 @@
 		return false
 	}
 	c.tally.Gone++
-	if c.trace != nil {
-		c.trace(now, Trace{What: "gone", Request: e.name})
-	}
+	c.note(now, "gone", e.id, 0, 0, "-", 0, logic.NoLoad)
 	c.host.Tell(logic.ClientGone{Request: e.id})
 	c.over(e)
 	return true
@@ -166,9 +149,7 @@
 	e := a.e
 	e.out--
 	c.tally.Outcomes[res.Outcome]++
-	if c.trace != nil {
-		c.trace(now, Trace{What: "end", Request: e.name, Number: a.Number, Node: a.Node, Outcome: res.Outcome, Took: now - a.Sent, Load: res.Load})
-	}
+	c.note(now, "end", e.id, a.Number, a.Node, trace.Words[res.Outcome], now-a.Sent, res.Load)
 	c.host.Tell(logic.AttemptEnded{
 		Request: e.id, Attempt: a.Number, Node: a.Node, Outcome: res.Outcome, Took: now - a.Sent,
 		Settled: res.Outcome == logic.OK || e.r == nil, Used: res.Used, Elsewhere: res.Elsewhere, Load: res.Load,
@@ -181,13 +162,20 @@
 
 func (c *Core) finish(now logic.Micros, e *entry, a Answer) {
 	c.tally.Answers[a.Verdict]++
-	if c.trace != nil {
-		c.trace(now, Trace{What: "answer", Request: e.name, Verdict: a.Verdict})
-	}
+	c.note(now, "answer", e.id, 0, 0, verdicts[a.Verdict], 0, logic.NoLoad)
 	c.out = append(c.out, action{kind: answer, request: e.r, answer: a})
 	c.over(e)
 }
 
+var verdicts = [...]string{Served: "served", Refused: "refused", Failed: "failed"}
+
+// note writes down what the core believes.
+func (c *Core) note(now logic.Micros, what string, id logic.RequestID, number int, node logic.NodeID, outcome string, took logic.Micros, load logic.Load) {
+	if c.trace != nil {
+		c.trace.Put(trace.Line{At: now, Side: "core", What: what, Request: id, Number: number, Node: node, Outcome: outcome, Took: took, Load: load.Waits})
+	}
+}
+
 // Nodes is news of the targets.
 func (c *Core) Nodes(kind logic.ListKind, list []logic.Node) {
 	c.host.Tell(logic.NodeList{Kind: kind, Nodes: list})
@@ -258,9 +246,7 @@
 	e.out++
 	c.tally.Sends++
 	c.tally.Out++
-	if c.trace != nil {
-		c.trace(now, Trace{What: "send", Request: e.name, Number: a.Number, Node: a.Node})
-	}
+	c.note(now, "send", e.id, a.Number, a.Node, "-", 0, logic.NoLoad)
 	c.host.Sent(&a.Attempt)
 	c.out = append(c.out, action{kind: start, attempt: a, request: e.r})
 }
--- a/internal/platform/core/shell.go
+++ b/internal/platform/core/shell.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"appleplank/internal/drive"
+	"appleplank/internal/platform/trace"
 	"appleplank/logic"
 	"appleplank/members"
 
@@ -18,7 +19,6 @@
 	loop  *drive.Loop[input]
 	epoch time.Time
 	base  logic.Micros
-	idle  func() // called once nothing is held
 }
 
 type inputKind uint8
@@ -28,7 +28,6 @@
 	left
 	ended
 	nodes
-	idle
 )
 
 // input is something that happened. What is queued is bounded by what is out.
@@ -39,7 +38,6 @@
 	result  Result
 	list    []logic.Node
 	places  []Place
-	call    func()
 }
 
 // NewShell makes a shell whose steps begin pace apart at least. All initiators read one clock, by which hosts share
@@ -54,8 +52,8 @@
 // SetBack tells who carries attempts out, before anything is brought.
 func (s *Shell) SetBack(b Back) { s.back = b }
 
-// SetTrace makes the core tell what it believes, before anything is brought. It is called under the core's lock.
-func (s *Shell) SetTrace(f func(now logic.Micros, line Trace)) { s.core.trace = f }
+// SetTrace makes the core write down what it believes, before anything is brought.
+func (s *Shell) SetTrace(w *trace.Writer) { s.core.trace = w }
 
 // Now is the shell's clock.
 func (s *Shell) Now() logic.Micros { return s.base + logic.Micros(time.Since(s.epoch).Microseconds()) }
@@ -76,9 +74,6 @@
 	s.loop.Post(input{kind: nodes, list: changed, places: Places(all)})
 }
 
-// WhenIdle calls f once, at a time when nothing is held.
-func (s *Shell) WhenIdle(f func()) { s.loop.Post(input{kind: idle, call: f}) }
-
 // Tally tells the counts so far, how many steps there were, and by how much the latest timer was too late.
 func (s *Shell) Tally() (t Tally, steps uint64, late logic.Micros) {
 	s.loop.With(func(logic.Micros) { t = s.core.Tally() })
@@ -105,8 +100,6 @@
 			if len(x.list) > 0 {
 				c.Nodes(listKind, x.list)
 			}
-		case idle:
-			s.idle = x.call
 		}
 	}
 	for _, a := range c.step(now) {
@@ -124,9 +117,5 @@
 			s.log.Info(a.text)
 		}
 	}
-	if s.idle != nil && c.tally.Held == 0 {
-		s.idle()
-		s.idle = nil
-	}
 	return c.Next()
 }
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -427,3 +427,10 @@
 	b = append(b, "\r\n\r\n"...)
 	return append(b, r.why...)
 }
+
+// Connections tells how many clients are connected.
+func (f *Front) Connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seats.Taken()
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -16,6 +16,7 @@
 	"appleplank/internal/platform/discovery"
 	"appleplank/internal/platform/front"
 	"appleplank/internal/platform/target"
+	"appleplank/internal/platform/trace"
 	"appleplank/leave"
 	"appleplank/logic"
 	"appleplank/seats"
@@ -52,7 +53,8 @@
 }
 
 // New starts an initiator: it listens, and is ready once discovery has told something.
-func New(env func(string) string, log *zap.Logger) (*Initiator, error) {
+// Beliefs and what passed on the sockets go to tr, unless it is nil.
+func New(env func(string) string, tr *trace.Writer, log *zap.Logger) (*Initiator, error) {
 	cfg, err := config.Load(env)
 	if err != nil {
 		return nil, err
@@ -78,8 +80,10 @@
 	in.back = target.New(target.Settings{
 		Most: int(targetPart * float64(cfg.Limits.Sockets)), Idle: logic.Micros(s.Limits.ConnIdleUs),
 		Connect: time.Duration(s.Limits.ConnectTimeoutUs) * time.Microsecond, Fields: target.NewFields(s.Report.Fields),
+		Trace: tr,
 	}, in.shell, log)
 	in.shell.SetBack(in.back)
+	in.shell.SetTrace(tr)
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,439 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"appleplank/internal/http1"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+)
+
+// run starts the initiator of the file at hand.
+func (s *stand) run() {
+	env := func(k string) string { return map[string]string{"ROUTER_CONFIG": s.path}[k] }
+	in, err := New(env, nil, zap.NewNop())
+	if err != nil {
+		s.Fatal(err)
+	}
+	s.in = in
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	done := make(chan struct{})
+	go func() { ended <- in.Run(ctx, s.ctl); close(done) }()
+	s.end, s.ended = cancel, ended
+	s.Cleanup(func() {
+		cancel()
+		in.front.Close()
+		in.watch.Close()
+		in.back.Close()
+		in.shell.Close()
+		<-done
+	})
+}
+
+// served asks once and wants the answer made for the request.
+func (s *stand) served(p *peer, class string) {
+	s.Helper()
+	id := newID()
+	if st, body := p.ask(put(id, class, "data")); st != 200 || body != "for "+id+": data" {
+		s.Fatalf("%s: status %d, %q", class, st, body)
+	}
+}
+
+func one(t *testing.T, script func(int, *http1.Message) (string, bool)) (*stand, *standTarget, *standDiscovery) {
+	target := newTarget(t, "s-1", script)
+	d := newDiscovery(t, list(1, true, target.entry("in_service", 0)))
+	s := start(t, d.l.Addr().String())
+	s.ready()
+	return s, target, d
+}
+
+func TestServes(t *testing.T) {
+	s, target, _ := one(t, nil)
+	p := s.dial()
+	for range 20 {
+		for _, class := range []string{"look", "save", "pay"} {
+			s.served(p, class)
+		}
+	}
+	if target.count() != 60 || target.most > 2 {
+		t.Fatalf("%d requests on up to %d connections", target.count(), target.most)
+	}
+	if ta, _, _ := s.in.shell.Tally(); ta.Answers[0] != 60 || ta.Entries != 0 || ta.Out != 0 {
+		t.Fatalf("%+v", ta)
+	}
+}
+
+// Whatever a client sends that is no request gets a 4xx or a close in 3 s and reaches no target; others go on.
+func TestBadClients(t *testing.T) {
+	s, target, _ := one(t, nil)
+	usual := s.dial()
+	id := newID
+	cases := map[string]string{
+		"noise":             "\x16\x03\x01\x00\xff\xfe",
+		"both lengths":      put(id(), "look", "x", "Transfer-Encoding: chunked"),
+		"smuggled":          put(id(), "look", "0\r\n\r\n"+put(id(), "pay", "hidden"), "Transfer-Encoding: chunked"),
+		"negative length":   put(id(), "look", "", "Content-Length: -1"),
+		"huge length":       put(id(), "look", "", "Content-Length: 60000000"),
+		"two lengths":       strings.Replace(put(id(), "look", "x"), "Host: ", "Content-Length: 1\r\nHost: ", 1),
+		"unknown class":     put(id(), "nothing", "x"),
+		"class elsewhere":   put(id(), "look", "x", "Request-Class: pay"),
+		"unknown plan":      put(id(), "look", "x", "X-Storage-Class: iron"),
+		"no id":             put(id(), "look", "x", "Request-Id:"),
+		"odd id":            put(id(), "look", "x", "Request-Id: a b"),
+		"time is no number": put(id(), "look", "x", "Request-Timeout: soon"),
+		"time without unit": put(id(), "look", "x", "Request-Timeout: 400"),
+		"negative time":     put(id(), "look", "x", "Request-Timeout: -400m"),
+		"endless time":      put(id(), "look", "x", "Request-Timeout: 1e9999m"),
+		"no extent":         put(id(), "look", "x", "X-Extent:"),
+		"no shard":          put(id(), "look", "x", "X-Extent: volume=00000003b4d60021,units=1,hosts=1"),
+		"shard unknown":     put(id(), "look", "x", "X-Extent: volume=00000003b4d60021,units=1,shard=9,hosts=1"),
+		"units none":        put(id(), "look", "x", "X-Extent: volume=00000003b4d60021,units=NaN,shard=0,hosts=1"),
+		"keyed without key": put(id(), "save", "x", "Idempotency-Key:"),
+		"post":              strings.Replace(put(id(), "look", "x"), "PUT", "POST", 1),
+		"get with a body":   strings.Replace(put(id(), "look", "x"), "PUT", "GET", 1),
+		"expects":           put(id(), "look", "x", "Expect: 100-continue"),
+		"pipelined":         put(id(), "look", "x") + put(id(), "look", "y"),
+		"no path":           "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+	}
+	for name, text := range cases {
+		p := s.dial()
+		begun := time.Now()
+		if st, body := p.ask(text); st < 400 || st >= 500 {
+			t.Errorf("%s: status %d, %q", name, st, body)
+		}
+		if _, err := io.ReadAll(p.c); err == nil && time.Since(begun) > 3*time.Second {
+			t.Errorf("%s: closed after %v", name, time.Since(begun))
+		}
+	}
+	if n := target.count(); n != 0 {
+		t.Fatalf("%d of them reached the target", n)
+	}
+	s.served(usual, "look")
+}
+
+// Heads and bodies that never end, and connections that say nothing, are ended in their time; a crowd of them leaves
+// the usual clients their service.
+func TestStallsAndCrowds(t *testing.T) {
+	s, _, _ := one(t, nil)
+	usual := s.dial()
+	s.served(usual, "look")
+	begun := time.Now()
+	var slow []*peer
+	for i, text := range []string{"", "PUT /lo", put(newID(), "look", "abc", "Content-Length: 100")} {
+		p := s.dial()
+		io.WriteString(p.c, text)
+		slow = append(slow, p)
+		_ = i
+	}
+	for range 300 { // far more than there are seats
+		s.dial()
+	}
+	s.served(usual, "look")
+	s.served(s.dial(), "look")
+	for i, p := range slow {
+		if _, err := io.ReadAll(p.c); time.Since(begun) > 3*time.Second {
+			t.Errorf("stall %d: ended after %v, %v", i, time.Since(begun), err)
+		}
+	}
+	if n := s.in.front.Connections(); n > 64 {
+		t.Fatalf("%d connections held of 128 descriptors", n)
+	}
+}
+
+// An id that is open elsewhere is rejected, and the one who has it is served.
+func TestOpenID(t *testing.T) {
+	hold := make(chan struct{})
+	s, target, _ := one(t, func(n int, m *http1.Message) (string, bool) {
+		if n == 0 {
+			<-hold
+		}
+		return answerTo(m), false
+	})
+	a, b, id := s.dial(), s.dial(), newID()
+	io.WriteString(a.c, put(id, "look", "mine"))
+	s.until("sent", func() bool { return target.count() == 1 })
+	if st, _ := b.ask(put(id, "look", "other")); st != 409 {
+		t.Errorf("status %d", st)
+	}
+	close(hold)
+	if st, body := a.answer(); st != 200 || body != "for "+id+": mine" {
+		t.Errorf("%d %q", st, body)
+	}
+	s.served(s.dial(), "look")
+}
+
+// What a target sends beyond or in place of its answer reaches no client, and costs that connection alone.
+func TestBadTargets(t *testing.T) {
+	good := answerTo
+	spoilt := map[string]func(m *http1.Message) string{
+		"noise":        func(*http1.Message) string { return "\x01\x02\x03\x04" },
+		"endless head": func(*http1.Message) string { return "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", 20000) },
+		"3 GB":         func(*http1.Message) string { return "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxx" },
+		"two lengths": func(m *http1.Message) string {
+			return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx"
+		},
+		"ends early":   func(*http1.Message) string { return "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nxx" },
+		"server error": func(*http1.Message) string { return "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n" },
+	}
+	extra := map[string]func(m *http1.Message) string{
+		"second copy":  func(m *http1.Message) string { return good(m) + good(m) },
+		"noise behind": func(m *http1.Message) string { return good(m) + "\x00\x01\x02" },
+		"1xx before":   func(m *http1.Message) string { return "HTTP/1.1 100 C\r\n\r\nHTTP/1.1 102 P\r\n\r\n" + good(m) },
+		"odd report":   func(m *http1.Message) string { return strings.Replace(good(m), "queue=1", "queue=\tmany,,", 1) },
+		"odd meter":    func(m *http1.Message) string { return strings.Replace(good(m), "X-Meter: 12", "X-Meter: -1e9", 1) },
+		"asks to close": func(m *http1.Message) string {
+			return strings.Replace(good(m), "200 OK", "200 OK\r\nConnection: close", 1)
+		},
+	}
+	for name, f := range spoilt {
+		s, target, _ := one(t, func(n int, m *http1.Message) (string, bool) {
+			if n%2 == 0 {
+				return f(m), name == "ends early"
+			}
+			return good(m), false
+		})
+		p := s.dial()
+		for range 3 { // safe to repeat: the module tries again
+			s.served(p, "look")
+		}
+		if target.count() != 6 {
+			t.Errorf("%s: %d attempts for 3 requests", name, target.count())
+		}
+		// Never twice what may have run, and never refused.
+		before := target.count()
+		if st, _ := p.ask(put(newID(), "pay", "x")); st != 504 || target.count() != before+1 {
+			t.Errorf("%s: status %d after %d attempts of what must not run twice", name, st, target.count()-before)
+		}
+		s.end()
+	}
+	for name, f := range extra {
+		s, target, _ := one(t, func(n int, m *http1.Message) (string, bool) { return f(m), false })
+		p := s.dial()
+		for range 10 {
+			s.served(p, "look")
+		}
+		if target.count() != 10 {
+			t.Errorf("%s: %d attempts for 10 requests", name, target.count())
+		}
+		s.end()
+	}
+}
+
+// Turned away unseen is told from what may have run, also for what must not run twice.
+func TestNeverRan(t *testing.T) {
+	s, target, _ := one(t, func(n int, m *http1.Message) (string, bool) {
+		if n < 2 {
+			return "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n", false
+		}
+		return answerTo(m), false
+	})
+	s.served(s.dial(), "pay")
+	if target.count() != 3 {
+		t.Fatalf("%d attempts", target.count())
+	}
+}
+
+// A target that takes connections and says nothing: the client has its answer in time, and the advice when to come.
+func TestSilentTarget(t *testing.T) {
+	s, _, _ := one(t, func(int, *http1.Message) (string, bool) { return "", false })
+	for class, want := range map[string]int{"look": 503, "pay": 504} {
+		p, begun := s.dial(), time.Now()
+		st, _ := p.ask(put(newID(), class, "x", "Request-Timeout: 400m"))
+		if st != want {
+			t.Errorf("%s: status %d, want %d", class, st, want)
+		}
+		if d := time.Since(begun); d > 2*time.Second {
+			t.Errorf("%s: answered after %v", class, d)
+		}
+	}
+	s.until("nothing is held", func() bool { ta, _, _ := s.in.shell.Tally(); return ta.Entries == 0 && ta.Out == 0 })
+}
+
+// A plan's limit is refused at once with the time to come back.
+func TestLimitTellsWhenToComeBack(t *testing.T) {
+	s, _, _ := one(t, nil)
+	p := s.dial()
+	for range 10 {
+		st, _ := p.ask(put(newID(), "look", "x", "X-Storage-Class: thin", "X-Extent: volume=0000000000000007,units=8,shard=0,hosts=1"))
+		if st != 429 && st != 503 {
+			t.Fatalf("status %d", st)
+		}
+		if after := string(p.m.Get("retry-after")); !strings.HasPrefix(after, "0.5") {
+			t.Fatalf("advice %q", after)
+		}
+	}
+}
+
+// A client that leaves takes its request with it; its id is free again.
+func TestClientLeaves(t *testing.T) {
+	s, target, _ := one(t, func(int, *http1.Message) (string, bool) { return "", false })
+	p := s.dial()
+	io.WriteString(p.c, put(newID(), "look", "x"))
+	s.until("sent", func() bool { return target.count() == 1 })
+	p.c.Close()
+	s.until("it was noticed", func() bool { ta, _, _ := s.in.shell.Tally(); return ta.Gone == 1 && ta.Held == 0 })
+	s.until("its seat is free", func() bool { return s.in.front.Connections() <= 1 })
+}
+
+func TestDiscovery(t *testing.T) {
+	a, b := newTarget(t, "s-1", nil), newTarget(t, "s-2", nil)
+	d := newDiscovery(t, list(5, true, a.entry("in_service", 0)))
+	s := start(t, d.l.Addr().String())
+	s.ready()
+	p := s.dial()
+	s.served(p, "look")
+	// It moves to another address, under the same id.
+	moved := newTarget(t, "s-1", nil)
+	d.tell(list(6, false, moved.entry("in_service", 0)))
+	s.until("the new address is used", func() bool { s.served(p, "look"); return moved.count() > 0 })
+	// It drains, another takes its place; nothing new goes there, though the watch repeats older news.
+	d.tell(list(7, false, moved.entry("terminating", 0), b.entry("in_service", 0)))
+	s.until("the other is used", func() bool { s.served(p, "look"); return b.count() > 0 })
+	d.tell(list(6, false, moved.entry("in_service", 0)))
+	d.tell("{\"half")
+	d.tell("")
+	n := moved.count()
+	d.mu.Lock()
+	d.whole = list(8, true, b.entry("in_service", 0))
+	d.mu.Unlock()
+	d.cut()
+	s.until("it asks anew", func() bool { return d.watching() >= 2 })
+	for range 30 {
+		s.served(p, "look")
+	}
+	if moved.count() != n {
+		t.Fatal("a target that drains got new work")
+	}
+}
+
+// A program that starts without discovery uses the list that was known.
+func TestNoDiscovery(t *testing.T) {
+	target := newTarget(t, "s-1", nil)
+	s := &stand{T: t, path: filepath.Join(t.TempDir(), "c.json"), listen: free(t), ctl: make(chan os.Signal, 1)}
+	s.write(free(t))
+	text, _ := os.ReadFile(s.path)
+	known := strings.Replace(string(text), `"members":[]`, `"members":[`+target.entry("in_service", 0)+`]`, 1)
+	os.WriteFile(s.path, []byte(known), 0o600)
+	s.run()
+	s.ready()
+	s.served(s.dial(), "look")
+}
+
+// A new file is used whole or not at all, and no request is lost over it.
+func TestReload(t *testing.T) {
+	s, target, old := one(t, nil)
+	var wait sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		p := s.dial()
+		wait.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					s.served(p, "look")
+				}
+			}
+		})
+	}
+	other := newTarget(t, "s-2", nil)
+	both := list(2, true, target.entry("in_service", 0), other.entry("in_service", 0))
+	next := newDiscovery(t, both)
+	good, _ := os.ReadFile(s.path)
+	asked := old.watching()
+	for _, bad := range []string{string(good[:len(good)/2]), "", "{}", strings.Replace(string(good), `"aimUs":300000`, `"aimUs":-1`, 1),
+		strings.Replace(string(good), `"name":"n0"`, `"name":"n9"`, 1), strings.Replace(string(good), `"sockets":128`, `"sockets":3`, 1)} {
+		os.WriteFile(s.path, []byte(bad), 0o600)
+		s.in.reload()
+	}
+	if old.watching() != asked {
+		t.Error("the watch was moved by a file that cannot be right")
+	}
+	s.write(next.l.Addr().String())
+	s.ctl <- syscall.SIGHUP
+	s.until("the new discovery is watched", func() bool { return next.watching() > 0 })
+	s.until("its target is used", func() bool { return other.count() > 0 })
+	old.l.Close()
+	old.cut()
+	next.tell(list(3, false, target.entry("terminated", 0)))
+	n := other.count()
+	s.until("still in service", func() bool { return other.count() > n+50 })
+	close(stop)
+	wait.Wait()
+	if n := next.watching(); n != 1 {
+		t.Errorf("%d watches", n)
+	}
+}
+
+// Told to end, it serves whoever still comes, answers all, and ends by itself.
+func TestEnd(t *testing.T) {
+	s, _, _ := one(t, func(_ int, m *http1.Message) (string, bool) {
+		time.Sleep(20 * time.Millisecond)
+		return answerTo(m), false
+	})
+	a := s.dial()
+	s.served(a, "look")
+	s.end()
+	time.Sleep(50 * time.Millisecond)
+	s.served(a, "look")
+	b := s.dial()
+	s.served(b, "pay")
+	a.c.Close()
+	b.c.Close()
+	select {
+	case err := <-s.ended:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("it did not end")
+	}
+}
+
+// New ids, connections, volumes and targets for ever: what is held stays bounded.
+func TestLongDay(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("day", func(t *testing.T) {
+		target := newTarget(t, "s-0", nil)
+		d := newDiscovery(t, list(1, true, target.entry("in_service", 0)))
+		s := start(t, d.l.Addr().String())
+		s.ready()
+		for i := range 60 {
+			next := newTarget(t, fmt.Sprint("s-", i+1), nil)
+			d.tell(list(2+i, false, next.entry("in_service", 0), target.entry("terminated", 0)))
+			s.until("it is used", func() bool {
+				p := s.dial()
+				id := newID()
+				st, _ := p.ask(put(id, "look", "x", "X-Extent: volume="+id+",units=1,shard=0,hosts=1"))
+				if i%3 == 0 {
+					p.c.Close() // the others keep theirs for good
+				}
+				return st == 200 && next.count() > 0
+			})
+			target.stop()
+			target = next
+		}
+		ta, _, _ := s.in.shell.Tally()
+		if ta.Entries != 0 || ta.Out != 0 {
+			t.Errorf("%+v", ta)
+		}
+		if open, _ := s.in.back.Open(); open > 2 {
+			t.Errorf("%d connections to one target", open)
+		}
+		if n := s.in.front.Connections(); n > 64 {
+			t.Errorf("%d connections of clients", n)
+		}
+	})
+}
--- a/internal/platform/target/target.go
+++ b/internal/platform/target/target.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
 	"appleplank/internal/http1"
 	"appleplank/internal/platform/core"
+	"appleplank/internal/platform/trace"
 	"appleplank/internal/sock"
 	"appleplank/logic"
 	"appleplank/spares"
@@ -29,6 +31,7 @@
 	Idle    logic.Micros  // after which targets close them
 	Connect time.Duration // a connection that is not up by then is none
 	Fields  Fields        // of load reports
+	Trace   *trace.Writer // nil: off
 }
 
 // Back implements [core.Back].
@@ -122,6 +125,7 @@
 			b.wait.Add(1)
 			go l.rest()
 		}
+		b.trace("send", l, "-")
 		b.mu.Unlock() // a broken one is seen by its reader
 		return
 	}
@@ -284,6 +288,7 @@
 		b.wait.Add(1)
 		go l.rest()
 	}
+	b.trace("send", l, "-")
 	b.mu.Unlock()
 	r := http1.NewReader(conn)
 	var m http1.Message
@@ -338,6 +343,7 @@
 	b.mu.Lock()
 	if _, spoilt := err.(*http1.Error); spoilt {
 		b.Tally.Spoilt++
+		b.trace("end", l, "spoilt")
 		l.broke(logic.Failed)
 		return false
 	} else if err != nil {
@@ -351,6 +357,9 @@
 		b.Tally.Surplus++
 	}
 	l.state = told
+	if b.set.Trace != nil {
+		b.trace("end", l, strconv.Itoa(m.Status)+l.progress())
+	}
 	b.mu.Unlock()
 	b.sink.Ended(a, result(m, written, b.set.Fields))
 	return true
@@ -365,8 +374,34 @@
 			how = logic.ConnectFailed
 		}
 	}
+	if how != logic.Failed {
+		b.trace("end", l, "broke"+l.progress())
+	}
 	l.attempt = nil
 	b.end(l)
 	b.mu.Unlock()
 	b.sink.Ended(a, core.Result{Outcome: how, Load: logic.NoLoad})
 }
+
+// progress tells how much of the attempt was written.
+func (l *line) progress() string {
+	switch {
+	case l.written:
+		return "/whole"
+	case l.sent > 0:
+		return "/part"
+	}
+	return "/none"
+}
+
+// trace writes down what passed on a line's socket. Under the lock.
+func (b *Back) trace(what string, l *line, how string) {
+	if b.set.Trace == nil {
+		return
+	}
+	if l.dropped {
+		how += "/dropped"
+	}
+	now, a := b.sink.Now(), l.attempt
+	b.set.Trace.Put(trace.Line{At: now, Side: "wire", What: what, Request: a.Request, Number: a.Number, Node: a.Node, Outcome: how, Took: now - a.Sent, Load: -1})
+}
--- /dev/null
+++ b/internal/platform/trace/trace_test.go
@@ -0,0 +1,32 @@
+package trace
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+func TestReport(t *testing.T) {
+	var b bytes.Buffer
+	w := New(&b)
+	for _, l := range []Line{
+		{At: 100, Side: "core", What: "send", Request: 1, Outcome: "-"}, {At: 130, Side: "wire", What: "send", Request: 1, Outcome: "-"},
+		{At: 500, Side: "wire", What: "end", Request: 1, Outcome: "200/whole"}, {At: 520, Side: "core", What: "end", Request: 1, Outcome: "ok"},
+		{At: 600, Side: "core", What: "send", Request: 2, Outcome: "-"}, {At: 900, Side: "core", What: "end", Request: 2, Outcome: "timeout"},
+	} {
+		w.Put(l)
+	}
+	w.Flush()
+	r, err := Read(strings.NewReader("a log line\n[1.2] " + b.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Attempts != 2 || r.Alone != 1 || r.Pairs[[2]string{"ok", "200/whole"}] != 1 || r.Pairs[[2]string{"timeout", "nothing"}] != 1 ||
+		r.EndLate[0] != 20 || r.SendLate[0] != 30 {
+		t.Fatalf("%+v", r)
+	}
+	var out bytes.Buffer
+	if r.Write(&out); !strings.Contains(out.String(), "2 attempts") {
+		t.Fatal(out.String())
+	}
+}
--- a/seats/seats.go
+++ b/seats/seats.go
@@ -116,12 +116,12 @@
 // State is what the connection is at.
 func (s *Seat) State() State { return s.state }
 
-// Leave frees a seat; it does so once.
+// Leave frees a seat and what its body holds; it does so once.
 func (t *Table) Leave(s *Seat) {
+	t.Free(s)
 	if s.Gone() {
 		return
 	}
-	t.Free(s)
 	t.pull(s)
 	s.since = -1
 	t.taken--
--- /dev/null
+++ b/seats/seats_test.go
@@ -0,0 +1,177 @@
+package seats
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"appleplank/logic"
+)
+
+func TestWhoLosesItsSeat(t *testing.T) {
+	table := New(4, 100)
+	take := func(now logic.Micros, name string) (*Seat, *Seat) { return table.Take(now, name) }
+	open, _ := take(1, "open")
+	idle, _ := take(2, "idle")
+	slow, _ := take(3, "slow")
+	silent, _ := take(4, "silent")
+	table.Move(5, open, Open)
+	table.Move(6, idle, Idle)
+	table.Move(7, slow, Speaking)
+	for _, want := range []*Seat{silent, slow, idle} {
+		s, out := take(10, "usual")
+		if s == nil || out != want {
+			t.Fatalf("out is %v, want %v", out, want)
+		}
+		table.Move(10, s, Open)
+	}
+	if s, out := take(11, "late"); s != nil || out != nil {
+		t.Fatal("all others are in service, yet one was taken")
+	}
+	if table.Taken() != 4 || table.Tally.Turned != 1 || table.Tally.Displaced != 3 {
+		t.Fatalf("%d taken, %+v", table.Taken(), table.Tally)
+	}
+}
+
+// A crowd that says nothing costs those that ask nothing, however large it is.
+func TestCrowdStarvesNoUsualClient(t *testing.T) {
+	table := New(20, 100)
+	var usual []*Seat
+	for i := range 10 {
+		s, _ := table.Take(logic.Micros(i), "usual")
+		table.Move(logic.Micros(i), s, Open)
+		usual = append(usual, s)
+	}
+	for i := range 1000 {
+		if s, _ := table.Take(logic.Micros(100+i), "crowd"); s == nil {
+			t.Fatal("turned away")
+		}
+		if i%100 == 0 {
+			s, _ := table.Take(logic.Micros(100+i), "new")
+			if s == nil {
+				t.Fatal("a usual client was turned away")
+			}
+			table.Move(logic.Micros(100+i), s, Open)
+			table.Leave(s)
+		}
+	}
+	for _, s := range usual {
+		if s.Gone() {
+			t.Fatal("one in service lost its seat")
+		}
+	}
+}
+
+func TestOverdue(t *testing.T) {
+	table := New(10, 100)
+	silent, _ := table.Take(0, nil)
+	speaking, _ := table.Take(0, nil)
+	table.Move(1*sec, speaking, Speaking)
+	open, _ := table.Take(0, nil)
+	table.Move(0, open, Open)
+	idle, _ := table.Take(0, nil)
+	table.Move(0, idle, Idle)
+	if s := table.Overdue(speakBy - 1); s != nil {
+		t.Fatal("too early")
+	}
+	for _, c := range []struct {
+		at   logic.Micros
+		want *Seat
+	}{{speakBy, silent}, {1*sec + speakBy, speaking}, {idleMost, idle}} {
+		s := table.Overdue(c.at)
+		if s != c.want {
+			t.Fatalf("at %d: %+v", c.at, s)
+		}
+		table.Leave(s)
+	}
+	if s := table.Overdue(1000 * sec); s != nil {
+		t.Fatal("a request that is held is never overdue")
+	}
+	// Where seats are scarce idle ones go sooner.
+	for range 5 {
+		s, _ := table.Take(0, nil)
+		table.Move(0, s, Idle)
+	}
+	if table.Overdue(idleLeast) == nil {
+		t.Fatal("crowded, yet idle ones stay")
+	}
+}
+
+func TestInstantRepeats(t *testing.T) {
+	table := New(10, 100)
+	s, _ := table.Take(0, nil)
+	if table.Rest(0, s, 7) != 0 {
+		t.Fatal("the first one rests")
+	}
+	table.Refused(10, s, 7)
+	now := logic.Micros(10 + ms)
+	want := firstRest
+	for range 20 {
+		rest := table.Rest(now, s, 7)
+		if rest != want {
+			t.Fatalf("rest %d, want %d", rest, want)
+		}
+		table.Refused(now, s, 7)
+		now += rest + ms // it is listened to again, and is back at once
+		want = min(2*want, mostRest)
+	}
+	if table.Rest(now+atOnce, s, 7) != 0 {
+		t.Fatal("one that waited rests")
+	}
+	table.Refused(now, s, 7)
+	if table.Rest(now, s, 8) != 0 {
+		t.Fatal("another request rests")
+	}
+}
+
+// Whatever happens in whatever order, seats and room for bodies add up.
+func TestSeatsAddUp(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	table := New(30, 1000)
+	var held []*Seat
+	now := logic.Micros(0)
+	for range 20000 {
+		now += logic.Micros(rng.Int64N(int64(50 * ms)))
+		if s, _ := table.Take(now, nil); s != nil && rng.IntN(2) == 0 {
+			held = append(held, s)
+		}
+		if len(held) > 0 {
+			i := rng.IntN(len(held))
+			switch s := held[i]; rng.IntN(6) {
+			case 0:
+				table.Leave(s)
+				held = append(held[:i], held[i+1:]...)
+			case 1:
+				table.Hold(s, rng.IntN(100))
+			case 2:
+				table.Free(s)
+			default:
+				table.Move(now, s, State(rng.IntN(int(states))))
+			}
+		}
+		for s := table.Overdue(now); s != nil; s = table.Overdue(now) {
+			table.Leave(s)
+		}
+		body := 0
+		all := table.All()
+		for _, s := range all {
+			body += s.body
+		}
+		for _, s := range held {
+			if s.Gone() {
+				body += s.body
+			}
+		}
+		if len(all) != table.taken || table.taken > table.most || body > table.bodies || table.held > table.bodies {
+			t.Fatalf("%d in lists, %d taken, %d bytes, %d held", len(all), table.taken, body, table.held)
+		}
+	}
+	for _, s := range table.All() {
+		table.Leave(s)
+	}
+	for _, s := range held {
+		table.Free(s)
+	}
+	if table.taken != 0 || table.held != 0 {
+		t.Fatal(table.taken, table.held)
+	}
+}
--- /dev/null
+++ b/spares/spares_test.go
@@ -0,0 +1,94 @@
+package spares
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"appleplank/logic"
+)
+
+func TestPick(t *testing.T) {
+	s := New(10, 1000*ms)
+	var a, b Line
+	for range 2 {
+		s.Dial()
+	}
+	s.Idle(0, 1, &a)
+	s.Idle(10*ms, 1, &b)
+	if s.Pick(11*ms, 2) != nil {
+		t.Fatal("another node's")
+	}
+	if got := s.Pick(11*ms, 1); got != &a {
+		t.Fatal("b has not settled yet, and a has")
+	}
+	s.Idle(12*ms, 1, &a)
+	if s.Pick(20*ms, 1) != &a || s.Pick(20*ms, 1) != &b || s.Pick(20*ms, 1) != nil {
+		t.Fatal("the one used last goes first")
+	}
+}
+
+// A connection that its target may close at any moment carries nothing any more, also where no sweep has come by.
+func TestOldOnesCarryNothing(t *testing.T) {
+	s := New(10, 1000*ms)
+	var a Line
+	s.Dial()
+	s.Idle(0, 1, &a)
+	if s.Pick(750*ms, 1) != nil {
+		t.Fatal("it may be closed as this is written")
+	}
+	if s.Overdue(749*ms) != nil || s.Overdue(750*ms) != &a || s.Overdue(750*ms) != nil {
+		t.Fatal("it is to be closed once, in time")
+	}
+	if open, idle := s.Open(); open != 0 || idle != 0 {
+		t.Fatal(open, idle)
+	}
+}
+
+func TestBound(t *testing.T) {
+	s := New(2, 1000*ms)
+	var a, b Line
+	s.Dial()
+	s.Dial()
+	if _, ok := s.Dial(); ok {
+		t.Fatal("beyond the bound")
+	}
+	s.Idle(5, 1, &a)
+	s.Idle(4, 2, &b)
+	if out, ok := s.Dial(); !ok || out != &b {
+		t.Fatal("the one idle for longest gives way")
+	}
+	if s.Forget(2) != nil || s.Forget(1) != &a || s.Forget(1) != nil {
+		t.Fatal("forget")
+	}
+}
+
+func TestSparesAddUp(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	s := New(20, 100*ms)
+	var out []*Line
+	now := logic.Micros(0)
+	for range 20000 {
+		now += logic.Micros(rng.Int64N(int64(5 * ms)))
+		node := logic.NodeID(rng.IntN(6))
+		if l := s.Pick(now, node); l != nil {
+			out = append(out, l)
+		} else if _, ok := s.Dial(); ok {
+			out = append(out, &Line{node: node})
+		}
+		for len(out) > 0 && rng.IntN(3) > 0 {
+			i := rng.IntN(len(out))
+			l := out[i]
+			out = append(out[:i], out[i+1:]...)
+			if rng.IntN(4) == 0 {
+				s.Gone(l)
+			} else {
+				s.Idle(now, l.node, l)
+			}
+		}
+		for s.Overdue(now) != nil {
+		}
+		if open, idle := s.Open(); open != idle+len(out) || open > 20 {
+			t.Fatalf("%d open, %d idle, %d out", open, idle, len(out))
+		}
+	}
+}
