Answers longer than 64 KiB are passed on, within a room for them, to slow clients too

The platform's page says 64 KiB at most; its sockets say otherwise. Longer ones up to 1 MiB are now taken whole where spares.Hold has room (a fifth of the memory), what a client is slow to take is held within the room for bodies. A probe of the writes ruled out our own hand in the 650 clients that still leave: they read slowly and reset in the middle.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -17,7 +17,9 @@
 	// maxInterim answers of the 1xx kind before the one that counts are skipped.
 	maxInterim = 8
 	firstSize  = 1 << 10 // of a reader's buffer
-	keepSize   = 8 << 10 // a buffer that had to grow beyond this is given back after its message
+	// KeepSize: a buffer that had to grow beyond this is given up after its message, so what is longer stands as long
+	// as anybody holds it.
+	KeepSize = 8 << 10
 )
 
 // Error says what cannot be read; Status is what a server answers to it.
@@ -89,6 +91,9 @@
 
 // Reader reads messages from one connection.
 type Reader struct {
+	// Grant is asked for room for an answer's body that is longer than MaxBody; nil: there is none.
+	Grant func(n int) bool
+
 	src io.Reader
 	buf []byte // buf[:len] was read; the message at hand begins at 0
 	pos int    // what is behind the message at hand begins here
@@ -104,7 +109,7 @@
 // stays as it is.
 func (r *Reader) Wait() error {
 	for r.Buffered() == 0 {
-		if cap(r.buf)-len(r.buf) < 128 || cap(r.buf) > keepSize {
+		if cap(r.buf)-len(r.buf) < 128 || cap(r.buf) > KeepSize {
 			// The message's slices keep the old array, and a peer that says nothing holds little.
 			r.buf, r.pos = make([]byte, 0, firstSize), 0
 		}
@@ -146,7 +151,7 @@
 	if r.pos == 0 {
 		return
 	}
-	if cap(r.buf) > keepSize && len(rest) <= firstSize {
+	if cap(r.buf) > KeepSize && len(rest) <= firstSize {
 		r.buf = append(make([]byte, 0, firstSize), rest...)
 	} else {
 		r.buf = r.buf[:copy(r.buf, rest)]
@@ -320,8 +325,6 @@
 		return bad(400, "several lengths, or one beside Transfer-Encoding")
 	case codings == 1:
 		m.length = -1
-	case m.length > MaxBody:
-		return bad(413, "the body is longer than %d bytes", MaxBody)
 	case !request && (m.Status < 200 || m.Status == 204 || m.Status == 304):
 		if m.length != 0 {
 			return bad(502, "status %d with a body", m.Status)
@@ -362,7 +365,13 @@
 // body reads the body that begins at the given place of the buffer, in place.
 func (r *Reader) body(m *Message, at int) error {
 	if m.length >= 0 {
+		if m.length > MaxBody && (r.Grant == nil || m.length > 1<<30 || !r.Grant(int(m.length))) {
+			return bad(413, "a body of %d bytes, more than there is room for", m.length)
+		}
 		end := at + int(m.length)
+		if m.length > MaxBody && cap(r.buf) < end {
+			r.buf = append(make([]byte, 0, end), r.buf...)
+		}
 		for len(r.buf) < end {
 			if err := r.more(end); err != nil {
 				return unexpected(err)
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -116,6 +116,29 @@
 	}
 }
 
+// A long answer is taken where there is room for it, and what is held of it stands after the next was read.
+func TestLongAnswer(t *testing.T) {
+	long := strings.Repeat("x", 300_000)
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long)
+	r, m := NewReader(strings.NewReader(text+text)), new(Message)
+	asked := 0
+	r.Grant = func(n int) bool { asked++; return n == len(long) && asked == 1 }
+	if err := r.Answer(m); err != nil || len(m.Body) != len(long) {
+		t.Fatal(err, len(m.Body))
+	}
+	body := m.Body
+	if err := r.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	var odd *Error
+	if err := r.Answer(m); !errors.As(err, &odd) {
+		t.Fatal("there was no room, yet it was read:", err)
+	}
+	if string(body) != long {
+		t.Fatal("what is held has changed")
+	}
+}
+
 // Wait tells that more has come and leaves the message at hand as it is.
 func TestWaitKeepsTheMessage(t *testing.T) {
 	from, to := io.Pipe()
--- a/internal/platform/core/core.go
+++ b/internal/platform/core/core.go
@@ -155,7 +155,7 @@
 		Settled: res.Outcome == logic.OK || e.r == nil, Used: res.Used, Elsewhere: res.Elsewhere, Load: res.Load,
 	})
 	if res.Outcome == logic.OK && e.r != nil {
-		c.finish(now, e, Answer{Verdict: Served, Body: res.Body})
+		c.finish(now, e, Answer{Verdict: Served, Body: res.Body, Kept: res.Kept})
 	}
 	c.forget(e)
 }
--- a/internal/platform/core/request.go
+++ b/internal/platform/core/request.go
@@ -33,7 +33,8 @@
 // Answer is a request's one final answer.
 type Answer struct {
 	Verdict  Verdict
-	Body     []byte       // served: what the target made for it; stands until the call returns
+	Body     []byte       // served: what the target made for it
+	Kept     bool         // the body stands for good; else until the call returns
 	CoolDown logic.Micros // refused: when a retry has a chance; 0: no advice
 	Limited  bool         // refused: the plan's limit stands in the way
 }
@@ -59,6 +60,7 @@
 	Elsewhere int
 	Load      logic.Load
 	Body      []byte // of an answer; stands until Done
+	Kept      bool   // or for good
 }
 
 // Back carries attempts out. Its methods are called while the core's lock is held and must not wait.
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -314,17 +314,32 @@
 		f.seats.Refused(now, c.seat, c.what)
 	}
 	last := c.ending || c.left || f.leave.Last(now)
-	c.out = appendAnswer(c.out[:0], a, last)
-	n, err := c.conn.TryWrite(c.out)
-	if err == nil && n < len(c.out) {
-		f.wait.Add(1)
-		go c.finish(c.out[n:], last)
-		c.out = nil
-		return
+	c.out = appendHead(c.out[:0], a, last)
+	var rest []byte
+	n, err := 0, error(nil)
+	if !a.Kept {
+		c.out = append(c.out, a.Body...)
+	}
+	if n, err = c.conn.TryWrite(c.out); err == nil && n == len(c.out) && a.Kept {
+		n, err = c.conn.TryWrite(a.Body)
+		rest = a.Body[n:]
+	} else if a.Kept {
+		rest = append(append(rest, c.out[n:]...), a.Body...)
+	} else {
+		rest = append(rest, c.out[n:]...)
 	}
 	if cap(c.out) > keepOut {
 		c.out = nil
 	}
+	if err == nil && len(rest) > 0 {
+		// What a client is slow to take is held within the room for bodies; else it is cut, so that it can tell.
+		if f.seats.Hold(c.seat, len(rest)) {
+			f.wait.Add(1)
+			go c.finish(rest, last)
+			return
+		}
+		last = true
+	}
 	c.answered(now, last || err != nil)
 }
 
@@ -349,6 +364,7 @@
 	_, err := c.conn.Write(b)
 	c.conn.SetWriteDeadline(time.Time{})
 	f.mu.Lock()
+	f.seats.Free(c.seat)
 	c.answered(f.taker.Now(), last || err != nil)
 	f.mu.Unlock()
 }
@@ -394,7 +410,7 @@
 	unwell  = []byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 )
 
-func appendAnswer(b []byte, a core.Answer, last bool) []byte {
+func appendHead(b []byte, a core.Answer, last bool) []byte {
 	switch {
 	case a.Verdict == core.Served:
 		b = append(b, "HTTP/1.1 200 OK\r\n"...)
@@ -415,8 +431,7 @@
 	}
 	b = append(b, "Content-Length: "...)
 	b = strconv.AppendInt(b, int64(len(a.Body)), 10)
-	b = append(b, "\r\n\r\n"...)
-	return append(b, a.Body...)
+	return append(b, "\r\n\r\n"...)
 }
 
 func appendError(b []byte, r *reject) []byte {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,8 +28,9 @@
 	// Of the descriptors that are granted, clients have clientPart and targets targetPart; the rest is for the
 	// listener, discovery, logs, and connections that are being closed.
 	clientPart, targetPart = 0.5, 0.25
-	// Of the memory that is granted, the heap has heapPart, and the bodies of requests that are held bodyPart.
-	heapPart, bodyPart = 0.6, 0.1
+	// Of the memory that is granted, the heap has heapPart; of that, bodies of requests that are held and answers that
+	// clients are slow to take have bodyPart, long answers on their way in answerPart.
+	heapPart, bodyPart, answerPart = 0.6, 0.1, 0.2
 
 	defaultSockets = 1024
 	defaultMemory  = 512 // MB
@@ -78,7 +79,7 @@
 	in := &Initiator{cfg: cfg, env: env, log: log}
 	in.shell = core.NewShell(c, cfg.Logic.Tick, log)
 	in.back = target.New(target.Settings{
-		Most: int(targetPart * float64(cfg.Limits.Sockets)), Idle: logic.Micros(s.Limits.ConnIdleUs),
+		Most: int(targetPart * float64(cfg.Limits.Sockets)), Room: int(memory * answerPart), Idle: logic.Micros(s.Limits.ConnIdleUs),
 		Connect: time.Duration(s.Limits.ConnectTimeoutUs) * time.Microsecond, Fields: target.NewFields(s.Report.Fields),
 		Trace: tr,
 	}, in.shell, log)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -230,6 +230,32 @@
 	}
 }
 
+// Good answers longer than the platform's page says come on its sockets: they are passed on whole, also to a client
+// that takes them slowly. One that is far too long is spoilt.
+func TestLongAnswers(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 25_000)
+	s, target, _ := one(t, func(n int, m *http1.Message) (string, bool) {
+		if n == 3 {
+			return "HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + long, false
+		}
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long), false
+	})
+	p := s.dial()
+	p.r.Grant = func(int) bool { return true }
+	for range 5 {
+		if _, err := io.WriteString(p.c, put(newID(), "look", "x")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+		if st, body := p.answer(); st != 200 || body != long {
+			t.Fatalf("status %d, %d bytes", st, len(body))
+		}
+	}
+	if target.count() != 6 {
+		t.Errorf("%d attempts", target.count())
+	}
+}
+
 // Turned away unseen is told from what may have run, also for what must not run twice.
 func TestNeverRan(t *testing.T) {
 	s, target, _ := one(t, func(n int, m *http1.Message) (string, bool) {
--- a/internal/platform/target/message.go
+++ b/internal/platform/target/message.go
@@ -60,7 +60,7 @@
 	case notStarted && (m.Status == 503 || m.Status == 504):
 		res.Outcome = logic.Full
 	case m.Status == 200 && written:
-		res.Outcome, res.Body = logic.OK, m.Body
+		res.Outcome, res.Body, res.Kept = logic.OK, m.Body, len(m.Body) > http1.KeepSize
 	}
 	if v, ok := figure(m.Get("x-meter")); ok {
 		res.Used = 1 + v
--- a/internal/platform/target/target.go
+++ b/internal/platform/target/target.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 // Settings is what the back is told.
 type Settings struct {
 	Most    int           // connections
+	Room    int           // bytes for answers longer than the page says
 	Idle    logic.Micros  // after which targets close them
 	Connect time.Duration // a connection that is not up by then is none
 	Fields  Fields        // of load reports
@@ -57,7 +59,7 @@
 
 // New makes a back.
 func New(set Settings, sink Sink, log *zap.Logger) *Back {
-	b := &Back{set: set, sink: sink, log: log, spares: spares.New(set.Most, set.Idle),
+	b := &Back{set: set, sink: sink, log: log, spares: spares.New(set.Most, set.Room, set.Idle),
 		places: map[logic.NodeID]string{}, lines: map[*line]struct{}{}}
 	b.swept = time.AfterFunc(sweep, b.sweep)
 	return b
@@ -94,6 +96,7 @@
 	sent    int
 	spent   bool // to be closed once its end is used
 	stray   bool // something has come while nothing was out
+	room    int  // held for a long answer
 }
 
 // Start implements [core.Back].
@@ -180,6 +183,7 @@
 	b.mu.Lock()
 	if l, ok := a.Conn.(*line); ok && l.attempt == a {
 		l.attempt = nil
+		l.free()
 		if l.state == told {
 			if l.spent || b.closed || b.places[l.node] != l.address {
 				b.end(l)
@@ -212,6 +216,7 @@
 	if l.state == over {
 		return
 	}
+	l.free()
 	if _, ok := b.lines[l]; ok {
 		delete(b.lines, l)
 		b.spares.Gone(&l.spare)
@@ -291,6 +296,7 @@
 	b.trace("send", l, "-")
 	b.mu.Unlock()
 	r := http1.NewReader(conn)
+	r.Grant = l.hold
 	var m http1.Message
 	for l.answer(r, &m) {
 	}
@@ -313,6 +319,22 @@
 	b.mu.Unlock()
 }
 
+// hold takes room for a long answer, free gives it back.
+func (l *line) hold(n int) bool {
+	l.back.mu.Lock()
+	defer l.back.mu.Unlock()
+	if l.state != busy || !l.back.spares.Hold(n) {
+		return false
+	}
+	l.room = n
+	return true
+}
+
+func (l *line) free() {
+	l.back.spares.Free(l.room)
+	l.room = 0
+}
+
 // answer waits for what comes next on the connection; false: it is over.
 func (l *line) answer(r *http1.Reader, m *http1.Message) bool {
 	b := l.back
@@ -341,9 +363,9 @@
 	b.mu.Unlock()
 	err = r.Answer(m)
 	b.mu.Lock()
-	if _, spoilt := err.(*http1.Error); spoilt {
+	if odd, spoilt := err.(*http1.Error); spoilt {
 		b.Tally.Spoilt++
-		b.trace("end", l, "spoilt")
+		b.trace("end", l, "spoilt:"+strings.ReplaceAll(odd.What, " ", "-"))
 		l.broke(logic.Failed)
 		return false
 	} else if err != nil {
--- a/spares/spares.go
+++ b/spares/spares.go
@@ -13,6 +13,11 @@
 	// settle is how long a connection rests after an answer before it takes the next request, where another can be
 	// had without one: what a target sends beyond its answer comes right behind it.
 	settle = 2 * ms
+
+	// The platform's page says that a body holds 64 KiB at most; on its sockets good answers of 400 KB come. Longer
+	// ones than the page says are taken up to longest, while all together hold no more than their part of the memory.
+	// Harm: a target that claims such lengths and sends nothing holds the room until its attempts time out.
+	longest = 1 << 20
 )
 
 // Line is an idle connection.
@@ -26,6 +31,8 @@
 // Set holds the connections of one initiator to its targets.
 type Set struct {
 	most  int
+	room  int // bytes for long answers
+	held  int
 	idle  logic.Micros
 	open  int
 	nodes map[logic.NodeID][]*Line // idle, the longest first
@@ -34,13 +41,14 @@
 
 // Tally counts what was decided.
 type Tally struct {
-	Opened, Used, Aged, Displaced, Turned uint64
-	Most                                  int
+	Opened, Used, Aged, Displaced, Turned, NoRoom uint64
+	Most                                          int
 }
 
-// New makes a set for so many connections at most; targets close what was idle for the given time.
-func New(most int, idle logic.Micros) *Set {
-	return &Set{most: most, idle: logic.Micros(float64(idle) * idlePart), nodes: map[logic.NodeID][]*Line{}}
+// New makes a set for so many connections at most, whose long answers may hold so many bytes together; targets close
+// what was idle for the given time.
+func New(most, room int, idle logic.Micros) *Set {
+	return &Set{most: most, room: room, idle: logic.Micros(float64(idle) * idlePart), nodes: map[logic.NodeID][]*Line{}}
 }
 
 // Open tells how many connections there are, and how many of them are idle.
@@ -115,6 +123,19 @@
 	return out
 }
 
+// Hold takes room for a long answer; false: there is none, or it is too long.
+func (s *Set) Hold(bytes int) bool {
+	if bytes > longest || s.held+bytes > s.room {
+		s.Tally.NoRoom++
+		return false
+	}
+	s.held += bytes
+	return true
+}
+
+// Free gives room back.
+func (s *Set) Free(bytes int) { s.held -= bytes }
+
 // Forget gives the next idle connection of a node that is not used any more, taken out; nil: there is none.
 func (s *Set) Forget(node logic.NodeID) *Line {
 	list := s.nodes[node]
--- a/spares/spares_test.go
+++ b/spares/spares_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestPick(t *testing.T) {
-	s := New(10, 1000*ms)
+	s := New(10, 0, 1000*ms)
 	var a, b Line
 	for range 2 {
 		s.Dial()
@@ -29,7 +29,7 @@
 
 // A connection that its target may close at any moment carries nothing any more, also where no sweep has come by.
 func TestOldOnesCarryNothing(t *testing.T) {
-	s := New(10, 1000*ms)
+	s := New(10, 0, 1000*ms)
 	var a Line
 	s.Dial()
 	s.Idle(0, 1, &a)
@@ -45,7 +45,7 @@
 }
 
 func TestBound(t *testing.T) {
-	s := New(2, 1000*ms)
+	s := New(2, 0, 1000*ms)
 	var a, b Line
 	s.Dial()
 	s.Dial()
@@ -64,7 +64,7 @@
 
 func TestSparesAddUp(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 4))
-	s := New(20, 100*ms)
+	s := New(20, 0, 100*ms)
 	var out []*Line
 	now := logic.Micros(0)
 	for range 20000 {
@@ -92,3 +92,14 @@
 		}
 	}
 }
+
+func TestRoomForLongAnswers(t *testing.T) {
+	s := New(2, 3*longest/2, 1000*ms)
+	if s.Hold(longest+1) || !s.Hold(longest) || s.Hold(longest) || !s.Hold(longest/2) {
+		t.Fatal("room")
+	}
+	s.Free(longest)
+	if !s.Hold(longest) || s.Tally.NoRoom != 2 {
+		t.Fatal("room that was given back")
+	}
+}
