--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -77,7 +77,7 @@
 		return nil, err
 	}
 	in := &Initiator{cfg: cfg, env: env, log: log}
-	in.shell = core.NewShell(c, cfg.Logic.Tick, log)
+	in.shell = core.NewShell(c, cfg.Logic.Tick/8, log)
 	in.back = target.New(target.Settings{
 		Most: int(targetPart * float64(cfg.Limits.Sockets)), Room: int(memory * answerPart), Idle: logic.Micros(s.Limits.ConnIdleUs),
 		Connect: time.Duration(s.Limits.ConnectTimeoutUs) * time.Microsecond, Fields: target.NewFields(s.Report.Fields),
--- a/internal/platform/target/target.go
+++ b/internal/platform/target/target.go
@@ -97,6 +97,8 @@
 	spent   bool // to be closed once its end is used
 	stray   bool // something has come while nothing was out
 	room    int  // held for a long answer
+
+	answered logic.Micros // when its last answer was read
 }
 
 // Start implements [core.Back].
@@ -128,7 +130,9 @@
 			b.wait.Add(1)
 			go l.rest()
 		}
-		b.trace("send", l, "-")
+		if b.set.Trace != nil {
+			b.trace("send", l, "reused:"+strconv.FormatInt(int64(now-l.answered), 10))
+		}
 		b.mu.Unlock() // a broken one is seen by its reader
 		return
 	}
@@ -293,7 +297,7 @@
 		b.wait.Add(1)
 		go l.rest()
 	}
-	b.trace("send", l, "-")
+	b.trace("send", l, "new")
 	b.mu.Unlock()
 	r := http1.NewReader(conn)
 	r.Grant = l.hold
@@ -345,6 +349,7 @@
 		b.mu.Unlock()
 		return false
 	case l.state != busy: // closed while idle, or bytes that nobody asked for
+		b.traceIdle(l, err)
 		if err == nil {
 			b.Tally.Surplus++
 		}
@@ -378,7 +383,7 @@
 	if r.Buffered() > 0 {
 		b.Tally.Surplus++
 	}
-	l.state = told
+	l.state, l.answered = told, b.sink.Now()
 	if b.set.Trace != nil {
 		b.trace("end", l, strconv.Itoa(m.Status)+l.progress())
 	}
@@ -427,3 +432,16 @@
 	now, a := b.sink.Now(), l.attempt
 	b.set.Trace.Put(trace.Line{At: now, Side: "wire", What: what, Request: a.Request, Number: a.Number, Node: a.Node, Outcome: how, Took: now - a.Sent, Load: -1})
 }
+
+// traceIdle writes down what came on a line with nothing out, and how long after its last answer.
+func (b *Back) traceIdle(l *line, err error) {
+	if b.set.Trace == nil {
+		return
+	}
+	how := "unasked"
+	if err != nil {
+		how = "closed"
+	}
+	now := b.sink.Now()
+	b.set.Trace.Put(trace.Line{At: now, Side: "wire", What: "idle", Node: l.node, Outcome: how, Took: now - l.answered, Load: -1})
+}
