--- a/seats/seats.go
+++ b/seats/seats.go
@@ -85,13 +85,16 @@
 
 // Take gives a new connection a seat. Where none is free the one that loses its own is out, to be closed: first who
 // has said nothing for longest, then who is longest in the middle of a first request, then who is idle for longest;
-// of the first two those that came a moment ago only after the idle ones. Where all others are in service the new
-// one is turned away (nil).
+// those that came or were served a moment ago only after all others. Where all others are in service the new one is
+// turned away (nil).
 func (t *Table) Take(now logic.Micros, owner any) (s, out *Seat) {
 	if t.taken >= t.most {
-		for i, st := range [...]State{Lingering, Silent, Speaking, Idle, Silent, Speaking} {
-			out = t.lists[st].first
-			if out != nil && (st == Idle || st == Lingering || i > 3 || now-out.since >= unread) {
+		for i, st := range [...]State{Lingering, Silent, Speaking, Idle, Silent, Speaking, Idle} {
+			least := [states]logic.Micros{Silent: unread, Speaking: unread, Idle: idleLeast}[st]
+			if i > 3 {
+				least = 0
+			}
+			if out = t.lists[st].first; out != nil && now-out.since >= least {
 				break
 			}
 			out = nil
