--- a/seats/seats.go
+++ b/seats/seats.go
@@ -11,7 +11,7 @@
 const (
 	ms, sec logic.Micros = 1000, 1000 * 1000
 
-	// A client must have asked speakBy after it connected, and each request must be whole readBy after its first
+	// A client's first request must be whole speakBy after it connected, each further one readBy after its first
 	// byte: what is owed in 3 s has room for a late look.
 	speakBy = 2500 * ms
 	readBy  = 2500 * ms
@@ -54,6 +54,7 @@
 	Owner      any
 	state      State
 	since      logic.Micros
+	came       logic.Micros
 	prev, next *Seat
 	body       int
 	asked      int // requests that were taken on it
@@ -111,7 +112,7 @@
 		t.Tally.Displaced++
 		t.Leave(out)
 	}
-	s = &Seat{Owner: owner, since: now}
+	s = &Seat{Owner: owner, since: now, came: now}
 	t.push(s)
 	t.taken++
 	t.Tally.Taken++
@@ -175,7 +176,7 @@
 	if float64(t.taken) > crowded*float64(t.most) {
 		idle = idleLeast
 	}
-	for st, most := range [...]logic.Micros{Silent: speakBy, Speaking: speakBy, Resuming: readBy, Idle: idle, Open: 0, Lingering: lingerFor} {
+	for st, most := range [...]logic.Micros{Silent: speakBy, Resuming: readBy, Idle: idle, Open: 0, Lingering: lingerFor} {
 		if s := t.lists[st].first; s != nil && most > 0 && now-s.since >= most {
 			if State(st) != Lingering {
 				t.Tally.Overdue++
@@ -183,6 +184,12 @@
 			return s
 		}
 	}
+	for s := t.lists[Speaking].first; s != nil; s = s.next { // in order of their first bytes, not of their coming
+		if now-s.came >= speakBy {
+			t.Tally.Overdue++
+			return s
+		}
+	}
 	return nil
 }
 
