--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -111,7 +111,10 @@
 func (f *Front) Drain() {
 	f.mu.Lock()
 	f.leave.Told(f.taker.Now())
+	f.seats.Ending()
+	taken, tally := f.seats.Taken(), f.seats.Tally
 	f.mu.Unlock()
+	f.log.Info("told to end", zap.Int("connections", taken), zap.Any("seats", tally))
 }
 
 // Over tells whether the front may be closed after Drain.
--- a/seats/seats.go
+++ b/seats/seats.go
@@ -70,6 +70,7 @@
 	most   int
 	bodies int // bytes that bodies may hold together
 	held   int
+	ending bool
 	taken  int
 	lists  [states]list
 	Tally  Tally
@@ -86,6 +87,10 @@
 // New makes a table of so many seats, whose bodies may hold so many bytes together.
 func New(most, bodies int) *Table { return &Table{most: most, bodies: bodies} }
 
+// Ending says that no new connections will come: idle ones are kept from then on, as their clients cannot get others.
+// Found by an incident: clients whose connections ended as usual had nowhere to go until the process was back.
+func (t *Table) Ending() { t.ending = true }
+
 // Taken tells how many seats are.
 func (t *Table) Taken() int { return t.taken }
 
@@ -134,7 +139,9 @@
 }
 
 // Last tells whether a connection ends with the answer to the request that it has open.
-func (t *Table) Last(s *Seat) bool { return s.asked <= 1 && float64(t.taken) > scarce*float64(t.most) }
+func (t *Table) Last(s *Seat) bool {
+	return !t.ending && s.asked <= 1 && float64(t.taken) > scarce*float64(t.most)
+}
 
 // State is what the connection is at.
 func (s *Seat) State() State { return s.state }
@@ -173,7 +180,9 @@
 // Lingering.
 func (t *Table) Overdue(now logic.Micros) *Seat {
 	idle := idleMost
-	if float64(t.taken) > crowded*float64(t.most) {
+	if t.ending {
+		idle = 0
+	} else if float64(t.taken) > crowded*float64(t.most) {
 		idle = idleLeast
 	}
 	for st, most := range [...]logic.Micros{Silent: speakBy, Resuming: readBy, Idle: idle, Open: 0, Lingering: lingerFor} {
--- a/seats/seats_test.go
+++ b/seats/seats_test.go
@@ -85,6 +85,26 @@
 	}
 }
 
+// Told to end, it keeps every connection that a client can still use.
+func TestEndingKeepsConnections(t *testing.T) {
+	table := New(4, 100)
+	var s *Seat
+	for range 4 {
+		s, _ = table.Take(0, nil)
+		table.Move(0, s, Open)
+	}
+	if !table.Last(s) {
+		t.Fatal("a rush")
+	}
+	if table.Ending(); table.Last(s) {
+		t.Fatal("its client cannot get another")
+	}
+	table.Move(0, s, Idle)
+	if table.Overdue(100*sec) != nil {
+		t.Fatal("an idle one was closed")
+	}
+}
+
 // A crowd that says nothing costs those that ask nothing, however large it is.
 func TestCrowdStarvesNoUsualClient(t *testing.T) {
 	table := New(20, 100)
