--- a/internal/gateway/dav_test.go
+++ b/internal/gateway/dav_test.go
@@ -339,9 +339,13 @@
 		clear(open)
 		clear(unsure)
 		done := make(chan struct{})
+		enough := make(chan struct{}) // a kill waits for this many requests, however slow the machine is
 		go func() {
 			defer close(done)
-			for {
+			for asked := 0; ; asked++ {
+				if asked == 4 {
+					close(enough)
+				}
 				p := "/f/" + string(rune('a'+rng.IntN(3)))
 				switch rng.IntN(5) {
 				case 1: // over another name, or a free one
@@ -380,7 +384,12 @@
 				}
 			}
 		}()
-		time.Sleep(time.Duration(20+round%8*13) * time.Millisecond)
+		select {
+		case <-enough:
+		case <-done:
+			t.Fatalf("round %d: ended before its kill", round)
+		}
+		time.Sleep(time.Duration(round%8*11) * time.Millisecond)
 		stop(true)
 		<-done
 		w.close()
@@ -393,7 +402,7 @@
 		}
 		cat.Close()
 	}
-	if next < 50 {
+	if next < *davKills { // of four requests in five, and four a round
 		t.Errorf("%d puts", next)
 	}
 	g, stop := start(t, f.Settings[0])
