Held requests give way before clients run out of connections; one passes a lost answer

Ruled out: CPU (0.12 of 0.25 in the worst second), targets' connections (92 of all four), idle clients (samples of the seats each 0.1 s: 22 idle at all times, and never more than 85 requests open, which is a third of the 256 descriptors; at 85 just those requests are missing). The open ones are held by logic, a quarter of the refused for 0.5 to 2.4 s. At fault: logic holds without a bound where clients have one; takes() checked tryPast only after lateness, and by the wait that an unanswered attempt leaves (watch) all later requests are late, so with an aim (100 ms) under the pause none ever passed it.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,6 +28,8 @@
 	// Of the descriptors that are granted, clients have clientPart and targets targetPart; the rest is for the
 	// listener, discovery, logs, and connections that are being closed.
 	clientPart, targetPart = 0.5, 0.25
+	// Clients hold at most requestPart of the descriptors for requests: who asks beyond it finds no connection.
+	requestPart = 1.0 / 3
 	// Of the memory that is granted, the heap has heapPart; of that, bodies of requests that are held and answers that
 	// clients are slow to take have bodyPart, long answers on their way in answerPart.
 	heapPart, bodyPart, answerPart = 0.6, 0.1, 0.2
@@ -73,6 +75,7 @@
 	}
 	memory := cfg.Limits.MemoryMB * (1 << 20)
 	s := cfg.Settings
+	cfg.Logic.Room = int(requestPart * float64(cfg.Limits.Sockets))
 	c, err := core.New(cfg.Logic, cfg.Seed)
 	if err != nil {
 		return nil, err
--- a/logic/api.go
+++ b/logic/api.go
@@ -87,6 +87,7 @@
 	Rules          Rules
 	Tick           Micros // shortest time between two Steps
 	Subscribe      bool   // the node list comes only when asked for
+	Room           int    // requests that may be owed an answer here at once; 0: no bound
 	MaxAttempts    int    // attempts allowed for one request; 0: no bound
 	SecondCopies   bool   // two attempts of a request may be out at once
 	MayCancel      bool
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,7 +45,9 @@
 	// in a row are a node that hung. vanishing is the smoothed share of lost ones among those that
 	// waited for long from which a host takes it that answers vanish.
 	missingMost = 2
-	vanishing   = 0.4
+	// One that a later request has passed is taken for lost from doubtful on.
+	vanishing = 0.4
+	doubtful  = 0.3
 	// lateRest times the hosts is how long a node must have had nothing of this host before a request that
 	// can no longer make its aim may go there, so that late ones of all hosts add up to few; vainRest times
 	// the hosts how long at most a node is left alone after an attempt in vain, with the same purpose.
@@ -53,6 +55,9 @@
 	vainRest = 50 * ms
 	coldSlot = 1.5 // of a turn: longer ones find more requests waiting, shorter ones go round faster
 
+	// roomPart is how much of Settings.Room requests may take; the rest is for those that come meanwhile.
+	roomPart = 0.9
+
 	retryPause = 30 * ms // the wait before a further attempt; it doubles with each
 	// A node that took no connection is left alone for downPause, doubling to downMost, before one tries it.
 	downPause = 100 * ms
@@ -126,6 +131,7 @@
 	h.expire()
 	h.releaseChains()
 	h.runCycle()
+	h.relieve()
 	h.subscribe()
 	h.wake()
 	actions, h.out = h.out, nil
@@ -191,6 +197,7 @@
 	r.came = came
 	r.aimAt = min(came+r.class.Aim, r.dropDead)
 	h.requests[r.id] = r
+	h.owed++
 	v.live++
 	v.last = h.now
 	h.hold(r, true)
@@ -325,6 +332,9 @@
 
 // finish ends a request; it is forgotten when no attempt is out.
 func (h *Host) finish(r *request) {
+	if !r.over {
+		h.owed--
+	}
 	r.over = true
 	h.hold(r, false)
 	h.dequeue(r)
@@ -417,6 +427,52 @@
 	}
 }
 
+// relieve gives up held requests while more are owed an answer than there is room for: clients whose
+// connections are all taken cannot ask at all, and who finds none is drawn by lot, reserved or not.
+// Exception: Gage would hold a request as long as it can earn something. First go those that can no longer
+// make their aim, then those of the volume whose queue is longest for what is reserved for it, the last in
+// its turn first. Harm: where a rush is over sooner than the aims, they were given up for nothing.
+func (h *Host) relieve() {
+	for most := roomPart * float64(h.set.Room); most > 0 && float64(h.owed) > most; {
+		var worst *request
+		var length float64
+		for _, v := range h.ring {
+			units := 0.0
+			var last *request
+			for _, l := range v.lanes {
+				for _, r := range l.q {
+					if units += r.units; r.out == 0 && (last == nil || h.yields(r, last)) {
+						last = r
+					}
+				}
+			}
+			if last == nil {
+				continue
+			}
+			long := units / max(h.reservation(v), 1)
+			late := h.past(last)
+			if worst == nil || late && !h.past(worst) || late == h.past(worst) && long > length {
+				worst, length = last, long
+			}
+		}
+		if worst == nil {
+			return
+		}
+		h.giveUp(worst)
+	}
+}
+
+// past tells whether a held request can no longer make its aim.
+func (h *Host) past(r *request) bool { return h.now+Micros(h.unit*r.units) > r.aimAt }
+
+// yields orders the requests of one volume for relieve.
+func (h *Host) yields(r, o *request) bool {
+	if h.past(r) != h.past(o) {
+		return h.past(r)
+	}
+	return o.leads(r)
+}
+
 // earns tells whether a held request can still be sent so that its answer earns something: within its aim,
 // or late where that earns a part and its client still waits.
 func (h *Host) earns(r *request) bool {
@@ -471,8 +527,11 @@
 	if n.State != Ready {
 		return never
 	}
-	at := max(h.now+Micros(h.wait(n)), n.restTo)
-	if late {
+	at := h.now + Micros(h.wait(n))
+	if n.silent() {
+		at = min(at, n.last+h.tryPause())
+	}
+	if at = max(at, h.now, n.restTo); late {
 		at = max(at, n.last+lateRest*Micros(h.set.Hosts))
 	}
 	if w := max(h.window(n, 0), h.window(n, 1)); w < 1 && len(n.flight) == 0 {
@@ -669,7 +728,10 @@
 // takes tells whether a request may go to a node now: whether it is late there as asked, whether the node
 // takes connections, whether its window has room, and the guard of cold nodes.
 func (h *Host) takes(n *node, r *request, pass int, late bool) bool {
-	wait := h.wait(n)
+	wait, past := h.wait(n), h.tryPast(n)
+	if past {
+		wait = 0 // nobody knows
+	}
 	if n.State != Ready || late != (h.now+Micros(wait+h.unit*r.units) > r.aimAt) ||
 		late && (r.class.LateShare <= 0 || h.now+Micros(wait+leastTime*h.unit*r.units) > r.dropDead) ||
 		(n.down > 0 || late) && len(n.flight) > 0 ||
@@ -677,7 +739,7 @@
 		pass == 1 && h.opening(1) < 1 && wait > sparePart*float64(h.shortAim) {
 		return false // the last line: many hosts, whose windows learn late that no room is left
 	}
-	return (h.room(n, pass) || h.tryPast(n)) && h.coldAllows(n, r)
+	return (h.room(n, pass) || past) && h.coldAllows(n, r)
 }
 
 func (h *Host) send(r *request, n *node) {
@@ -858,6 +920,7 @@
 			if long {
 				if a.marks++; h.vanish < vanishing/4 {
 					h.hear(n, waited)
+					n.feared = true
 				}
 			}
 			if a.passed || long && h.vanish > vanishing {
@@ -865,7 +928,7 @@
 				i--
 				a.lost = true
 				n.failing += smooth * (1 - n.failing)
-				if h.vanish > vanishing {
+				if h.vanish > vanishing || a.passed && h.vanish > doubtful {
 					h.copy(a)
 				}
 				continue
@@ -876,7 +939,7 @@
 				}
 			}
 			if waited > h.wait(n) && h.vanish <= vanishing {
-				n.wait, n.waitAt = waited, h.now
+				n.wait, n.waitAt, n.feared = waited, h.now, true
 			}
 		}
 	}
@@ -895,12 +958,19 @@
 	}
 }
 
-// tryPast lets one request past a window that is held by attempts that wait for long, so seldom that those
-// of all hosts add up to few: its answer tells lost attempts from a node that hangs.
-func (h *Host) tryPast(n *node) bool {
+// tryPast lets one request past attempts that wait for long, whether they hold the window or their wait
+// makes all others late, so seldom that those of all hosts add up to few: its answer tells lost attempts from
+// a node that hangs. Held to the aim by that wait, none would leave before the lost one has timed out.
+func (h *Host) tryPast(n *node) bool { return n.silent() && h.now-n.last > h.tryPause() }
+
+func (h *Host) tryPause() Micros {
+	return Micros(float64(h.shortAim) * max(1, float64(h.set.Hosts)/leastTotal))
+}
+
+// silent tells whether all that is known of the node's wait is that answers have not come.
+func (n *node) silent() bool {
 	quick := slices.ContainsFunc(n.flight, func(a *attempt) bool { return a.marks == 0 })
-	pause := Micros(float64(h.shortAim) * max(1, float64(h.set.Hosts)/leastTotal))
-	return len(n.flight) > 0 && !quick && h.now-n.last > pause
+	return !quick && (len(n.flight) > 0 || n.feared)
 }
 
 // wait is what a request would wait at the node, by its last news: a queue drains no faster than time. A
@@ -915,7 +985,7 @@
 
 // hear takes in what a request has waited at a node.
 func (h *Host) hear(n *node, wait float64) {
-	n.wait, n.waitAt = wait, h.now
+	n.wait, n.waitAt, n.feared = wait, h.now, false
 	past := max(h.waits-float64(h.now-h.waitsAt), 0)
 	h.waits, h.waitsAt = past+smooth*(wait-past), h.now
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,6 +38,7 @@
 	unserved map[what]Micros // when what went unserved came, until its repeat is here
 	gone     []*request      // the same in the order they ended
 	held     int             // requests without an attempt out that are owed an answer
+	owed     int             // all that are owed one
 	wakeAt   Micros
 	token    uint32
 	askAt    Micros // subscribe mode: time of the next ask; 0: subscribed
@@ -154,6 +155,7 @@
 	sentAt  Micros     // last send
 	wait    float64    // what the last answer waited at the node, in Micros
 	waitAt  Micros
+	feared  bool   // no answer told that wait, but one that did not come
 	down    Micros // pause after connections failed; 0: they do not
 	downAt  Micros
 	revived Micros  // when its process may have started, going by its connections
