Few hosts may have more out at a node; answers over 64 KiB fail as the platform says

At fault: windowMost lets each host have two out at a node, four of two hosts, where a node of three cores bears six and more. mostTotal, eight for all hosts together, counts where there are fewer than four; from four on nothing changes.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -5,7 +5,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"fmt"
 	"io"
 )
@@ -92,9 +91,7 @@
 
 // Reader reads messages from one connection.
 type Reader struct {
-	// Most bounds a body whose length is told; 0: MaxBody. Grant is asked for room before a body beyond KeepSize is
-	// read; nil: there is room.
-	Most  int
+	// Grant is asked for room before a body beyond KeepSize is read; nil: there is room.
 	Grant func(n int) bool
 
 	src io.Reader
@@ -368,8 +365,8 @@
 // body reads the body that begins at the given place of the buffer, in place.
 func (r *Reader) body(m *Message, at int) error {
 	if m.length >= 0 {
-		if most := int64(cmp.Or(r.Most, MaxBody)); m.length > most {
-			return bad(413, "a body of %d bytes, more than %d", m.length, most)
+		if m.length > MaxBody {
+			return bad(413, "a body of %d bytes, more than %d", m.length, MaxBody)
 		}
 		if err := r.room(int(m.length)); err != nil {
 			return err
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -56,7 +56,7 @@
 
 // sendBuffer is what the kernel holds of answers for a client that does not read; left alone that grows to megabytes
 // each, which count as the initiator's memory.
-const sendBuffer = 64 << 10
+const sendBuffer = 16 << 10
 
 // sweep is how often connections are looked through.
 const sweep = 100 * time.Millisecond
--- a/internal/platform/target/target.go
+++ b/internal/platform/target/target.go
@@ -27,7 +27,7 @@
 // Settings is what the back is told.
 type Settings struct {
 	Most    int           // connections
-	Room    int           // bytes for answers longer than the page says
+	Room    int           // bytes for answers of more than a few KiB
 	Idle    logic.Micros  // after which targets close them
 	Connect time.Duration // a connection that is not up by then is none
 	Fields  Fields        // of load reports
@@ -315,7 +315,7 @@
 	b.trace("send", l, "new")
 	b.mu.Unlock()
 	r := http1.NewReader(conn)
-	r.Most, r.Grant = spares.Longest, l.hold
+	r.Grant = l.hold
 	var m http1.Message
 	for l.answer(r, &m) {
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,8 +26,10 @@
 
 	// Each node has a window for each pass: the first pass holds what is reserved, and goes on until the
 	// node's wait eats into the aims; the second takes only room that is left, so it shuts long before.
-	// windowMost bounds both. A window under one means one request out and a pause after its send.
+	// windowMost bounds both, or where hosts are few their part of mostTotal. A window under one means one
+	// request out and a pause after its send.
 	windowMost = 2.0
+	mostTotal  = 8.0
 	leastTotal = 3.0
 	spareTotal = 40.0 // what all hosts together have out at a node from the second pass at the start: a few
 	windowGrow = 1.0  // growth of a window under one with each good answer, as a part of it
@@ -845,7 +847,7 @@
 			} else if w := h.window(n, p); w < 1 {
 				n.window[p] = w * (1 + windowGrow)
 			} else if float64(len(n.flight)+1) >= w/2 {
-				n.window[p] = min(w+1/w, windowMost)
+				n.window[p] = min(w+1/w, h.most())
 			}
 		}
 	case TimedOut, Full, ConnectFailed:
@@ -884,9 +886,12 @@
 
 // opening is where a window starts: the first pass at its most, the second at this host's part of a few.
 func (h *Host) opening(pass int) float64 {
-	return []float64{windowMost, min(windowMost, spareTotal/float64(h.set.Hosts))}[pass]
+	return []float64{h.most(), min(h.most(), spareTotal/float64(h.set.Hosts))}[pass]
 }
 
+// most is what this host may have out at a node: where there are few hosts, its part of what one should bear.
+func (h *Host) most() float64 { return max(windowMost, mostTotal/float64(h.set.Hosts)) }
+
 // least is this host's part of what all hosts together keep out at a node however slow it is.
 func (h *Host) least() float64 { return min(1, leastTotal/float64(h.set.Hosts)) }
 
--- a/spares/spares.go
+++ b/spares/spares.go
@@ -28,11 +28,6 @@
 	lostLeast = 3.0
 	newsHalf  = 10 * 1000 * ms
 	ages      = 16 // the last for all of 16 s and more
-
-	// Longest is how long an answer may be. The platform's page says 64 KiB; on its sockets good ones of 400 KB come.
-	// What is more than a few KiB is taken while all together hold no more than their part of the memory. Harm: a
-	// target that claims such lengths and sends nothing holds the room until its attempts time out.
-	Longest = 1 << 20
 )
 
 // Line is a connection.
@@ -176,9 +171,10 @@
 	return out
 }
 
-// Hold takes room for a long answer; false: there is none, or it is too long.
+// Hold takes room for an answer of more than a few KiB; false: all together would hold more than their part of the
+// memory. Harm: a target that claims such lengths and sends nothing holds the room until its attempts time out.
 func (s *Set) Hold(bytes int) bool {
-	if bytes > Longest || s.held+bytes > s.room {
+	if s.held+bytes > s.room {
 		s.Tally.NoRoom++
 		return false
 	}
