Who gives way is told to come back when its queue has drained

A held request that gives way for room was refused with the time its node would take it, which is often now, so no advice went out and its client came back into the crowd. It is told how long its volume's queue takes by its reservation, up to the longest advice. The test of the room asks for advice with each refusal.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -462,6 +462,8 @@
 		if worst == nil {
 			return
 		}
+		// Its client is told to come back when its queue has drained by its reservation.
+		worst.after = max(worst.after, h.now+Micros(length*float64(sec)))
 		h.giveUp(worst)
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1311,7 +1311,7 @@
 	const room = 20
 	full := func(room int) (*bench, map[RequestID]int) {
 		s := four()
-		s.Room = room
+		s.Room, s.CoolDowns, s.MaxCoolDown = room, true, 10*sec
 		b := newBench(t, s, 1)
 		b.h.unit = 10 * float64(ms)
 		b.fill() // two are out
@@ -1328,7 +1328,9 @@
 	denied := func(actions []Action) (ids []RequestID) {
 		for _, a := range actions {
 			if d, ok := a.(Deny); ok {
-				ids = append(ids, d.Request)
+				if ids = append(ids, d.Request); d.CoolDown < 100*ms {
+					t.Errorf("%d is told to come back in %d us", d.Request, d.CoolDown)
+				}
 			}
 		}
 		return ids
