--- a/internal/drive/loop.go
+++ b/internal/drive/loop.go
@@ -29,9 +29,13 @@
 	paced  atomic.Bool // pacer will fire
 	pacer  *time.Timer
 	Steps  atomic.Uint64
-	LateBy atomic.Int64 // the most a timer has come too late, in Micros
+	Late   atomic.Uint64 // steps that began more than lateFrom after their timer was due
+	LateBy atomic.Int64  // the most a timer has come too late, in Micros
 }
 
+// lateFrom is what the machine's own timers are late by at most when nothing is in their way.
+const lateFrom = 2000
+
 // NewLoop makes a loop. Step takes what has come and does what it wants, and tells when it must be called again; 0:
 // not before something comes. Steps that are not asked for by their time begin pace apart at least, so that a crowd
 // costs one core no more than so many.
@@ -116,7 +120,11 @@
 	for {
 		now := l.now()
 		if l.due.Swap(false) && l.armed > 0 {
-			if late := int64(now - l.armed); late > l.LateBy.Load() {
+			late := int64(now - l.armed)
+			if late > lateFrom {
+				l.Late.Add(1)
+			}
+			if late > l.LateBy.Load() {
 				l.LateBy.Store(late)
 			}
 			l.armed = 0
--- a/internal/drive/loop_test.go
+++ b/internal/drive/loop_test.go
@@ -89,3 +89,24 @@
 		t.Fatal("never woken")
 	}
 }
+
+func TestLoopCountsLateSteps(t *testing.T) {
+	now, at := clock(), logic.Micros(0)
+	l := NewLoop(now, 0, func(now logic.Micros, in []int) logic.Micros {
+		if len(in) > 0 {
+			at = now + 5_000
+		}
+		if now >= at {
+			return 0
+		}
+		return at
+	})
+	defer l.Close()
+	l.Post(1)
+	l.With(func(logic.Micros) { time.Sleep(40 * time.Millisecond) }) // somebody holds the core up
+	for end := time.Now().Add(10 * time.Second); l.Late.Load() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	if n, by := l.Late.Load(), l.LateBy.Load(); n == 0 || by < 20_000 {
+		t.Errorf("%d steps late, by %d us at most", n, by)
+	}
+}
--- a/internal/platform/core/shell.go
+++ b/internal/platform/core/shell.go
@@ -79,10 +79,16 @@
 	s.loop.Post(input{kind: nodes, list: changed, places: Places(all)})
 }
 
-// Tally tells the counts so far, how many steps there were, and by how much the latest timer was too late.
-func (s *Shell) Tally() (t Tally, steps uint64, late logic.Micros) {
+// Steps counts a shell's steps.
+type Steps struct {
+	All, Late uint64
+	LateBy    logic.Micros // the most a timer has come too late
+}
+
+// Tally tells the counts so far.
+func (s *Shell) Tally() (t Tally, steps Steps) {
 	s.loop.With(func(logic.Micros) { t = s.core.Tally() })
-	return t, s.loop.Steps.Load(), logic.Micros(s.loop.LateBy.Load())
+	return t, Steps{s.loop.Steps.Load(), s.loop.Late.Load(), logic.Micros(s.loop.LateBy.Load())}
 }
 
 // Close stops the timers.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -183,7 +183,7 @@
 	in.front.Close()
 	in.back.Close()
 	in.shell.Close()
-	tally, steps, late := in.shell.Tally()
+	tally, steps := in.shell.Tally()
 	in.log.Info("ended", zap.Any("clients", in.front.Tally()), zap.Any("requests", tally), zap.Any("targets", in.back.Tally()),
-		zap.Uint64("steps", steps), zap.Int64("latest timer us", int64(late)))
+		zap.Any("steps", steps))
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -69,7 +69,7 @@
 	if target.count() != 60 || target.most > 10 {
 		t.Fatalf("%d requests on up to %d connections", target.count(), target.most)
 	}
-	if ta, _, _ := s.in.shell.Tally(); ta.Answers[0] != 60 || ta.Entries != 0 || ta.Out != 0 {
+	if ta, _ := s.in.shell.Tally(); ta.Answers[0] != 60 || ta.Entries != 0 || ta.Out != 0 {
 		t.Fatalf("%+v", ta)
 	}
 }
@@ -282,7 +282,7 @@
 			t.Errorf("%s: answered after %v", class, d)
 		}
 	}
-	s.until("nothing is held", func() bool { ta, _, _ := s.in.shell.Tally(); return ta.Entries == 0 && ta.Out == 0 })
+	s.until("nothing is held", func() bool { ta, _ := s.in.shell.Tally(); return ta.Entries == 0 && ta.Out == 0 })
 }
 
 // A plan's limit is refused at once with the time to come back.
@@ -308,8 +308,8 @@
 	for range room + 12 {
 		io.WriteString(s.dial().c, put(newID(), "look", "x"))
 	}
-	s.until("all are taken", func() bool { ta, _, _ := s.in.shell.Tally(); return ta.Taken == room+12 })
-	ta, _, _ := s.in.shell.Tally()
+	s.until("all are taken", func() bool { ta, _ := s.in.shell.Tally(); return ta.Taken == room+12 })
+	ta, _ := s.in.shell.Tally()
 	if ta.Held > room || ta.Answers[1] < 12 {
 		t.Fatalf("%d held, %d refused; room is for %d", ta.Held, ta.Answers[1], room)
 	}
@@ -322,7 +322,7 @@
 	io.WriteString(p.c, put(newID(), "look", "x"))
 	s.until("sent", func() bool { return target.count() == 1 })
 	p.c.Close()
-	s.until("it was noticed", func() bool { ta, _, _ := s.in.shell.Tally(); return ta.Gone == 1 && ta.Held == 0 })
+	s.until("it was noticed", func() bool { ta, _ := s.in.shell.Tally(); return ta.Gone == 1 && ta.Held == 0 })
 	s.until("its seat is free", func() bool { return s.in.front.Connections() <= 1 })
 }
 
@@ -439,7 +439,7 @@
 	defer c.Close()
 	slow, usual := &peer{t: t, c: c}, s.dial()
 	io.WriteString(slow.c, put(newID(), "look", "x"))
-	s.until("its answer is on its way", func() bool { ta, _, _ := s.in.shell.Tally(); return ta.Answers[0] == 1 })
+	s.until("its answer is on its way", func() bool { ta, _ := s.in.shell.Tally(); return ta.Answers[0] == 1 })
 	io.WriteString(slow.c, "noise\r\n\r\n")
 	for range 20 {
 		s.served(usual, "look")
@@ -545,7 +545,7 @@
 			target.stop()
 			target = next
 		}
-		ta, _, _ := s.in.shell.Tally()
+		ta, _ := s.in.shell.Tally()
 		if ta.Entries != 0 || ta.Out != 0 {
 			t.Errorf("%+v", ta)
 		}
