--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -490,6 +490,17 @@
 	next.tell(list(3, false, target.entry("terminated", 0)))
 	n := other.count()
 	s.until("still in service", func() bool { return other.count() > n+50 })
+	// Two in quick turn: the last one holds.
+	third := newTarget(t, "s-3", nil)
+	one, two := newDiscovery(t, list(4, true, other.entry("in_service", 0))), newDiscovery(t, list(5, true, third.entry("in_service", 0)))
+	for _, d := range []*standDiscovery{one, two} {
+		s.write(d.l.Addr().String())
+		s.ctl <- syscall.SIGHUP
+	}
+	s.until("the last one's target is used", func() bool { return third.count() > 50 })
+	one.tell(list(6, false, third.entry("terminated", 0)))
+	n = third.count()
+	s.until("the last one holds", func() bool { return third.count() > n+50 })
 	close(stop)
 	wait.Wait()
 	if n := next.watching(); n != 1 {
