spares: a connection that was displaced or overdue counts once as closed

Seen: a new test of attempts in any order (target, next commits) ended with -7 connections held. Cause: spares.Dial and Overdue call Gone, and Back.end, which closes what they give out, calls it again; open fell by two for each, so that after the first aged connections the bound on connections to targets never held again. Ruled out: that the lines were counted twice as opened (Tally.Opened was right). Lines at fault: Set.Gone, which took any call for the first. Change: Gone counts once. Test: TestGoneCountsOnce, seen to fail without it (0 open, 2 idle of two).

--- a/spares/spares.go
+++ b/spares/spares.go
@@ -36,6 +36,7 @@
 	node  logic.NodeID
 	since logic.Micros
 	idle  bool
+	gone  bool
 	age   int // class of how long it had been idle when it was last used, plus one; 0: it is new
 }
 
@@ -149,8 +150,13 @@
 	s.nodes[node] = append(s.nodes[node], l)
 }
 
-// Gone says that a connection is closed or will be.
+// Gone says that a connection is closed or will be; it counts once. Who closed one that was displaced or overdue said
+// so again, and the number of open ones fell below zero, so that their bound never held.
 func (s *Set) Gone(l *Line) {
+	if l.gone {
+		return
+	}
+	l.gone = true
 	if l.idle {
 		s.take(l)
 	}
--- a/spares/spares_test.go
+++ b/spares/spares_test.go
@@ -90,6 +90,29 @@
 	}
 }
 
+// What was displaced or overdue is closed by its owner, who says so once more.
+func TestGoneCountsOnce(t *testing.T) {
+	s := New(2, 0, 1000*ms)
+	var a, b, c Line
+	s.Dial()
+	s.Dial()
+	s.Idle(0, 1, &a)
+	s.Idle(1, 1, &b)
+	out, _ := s.Dial()
+	s.Gone(out)
+	s.Gone(out)
+	s.Idle(2, 1, &c)
+	if open, idle := s.Open(); open != 2 || idle != 2 {
+		t.Fatalf("%d open, %d idle of two", open, idle)
+	}
+	for l := s.Overdue(2000 * ms); l != nil; l = s.Overdue(2000 * ms) {
+		s.Gone(l)
+	}
+	if open, idle := s.Open(); open != 0 || idle != 0 {
+		t.Fatalf("%d open, %d idle of none", open, idle)
+	}
+}
+
 func TestRoomForLongAnswers(t *testing.T) {
 	s := New(2, 150, 1000*ms)
 	if !s.Hold(100) || s.Hold(100) || !s.Hold(50) {
