http1: an answer of no told length ends with its connection, and a reset is no end

Change: the body lasts until the end of the stream, within the bounds of any other; a connection that breaks leaves it unread.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -44,6 +44,7 @@
 	Fields         []Field
 	Body           []byte
 	Close          bool // the sender ends the connection after it
+	ToEnd          bool // the body of an answer lasts until then, as nothing else tells its length
 
 	length int64 // of the body; below zero: in chunks
 }
@@ -300,7 +301,7 @@
 
 // frame finds how long the body is.
 func (m *Message) frame(request bool) error {
-	m.Close, m.length, m.Body = false, 0, nil
+	m.Close, m.ToEnd, m.length, m.Body = false, false, 0, nil
 	lengths, codings := 0, 0
 	for i := range m.Fields {
 		switch f := &m.Fields[i]; {
@@ -330,7 +331,7 @@
 			return bad(502, "status %d with a body", m.Status)
 		}
 	case !request && lengths == 0:
-		return bad(502, "an answer whose end cannot be told")
+		m.Close, m.ToEnd = true, true
 	}
 	return nil
 }
@@ -364,6 +365,9 @@
 
 // body reads the body that begins at the given place of the buffer, in place.
 func (r *Reader) body(m *Message, at int) error {
+	if m.ToEnd {
+		return r.toEnd(m, at)
+	}
 	if m.length >= 0 {
 		if m.length > MaxBody {
 			return bad(413, "a body of %d bytes, more than %d", m.length, MaxBody)
@@ -419,6 +423,29 @@
 	}
 }
 
+// toEnd reads a body that lasts until its sender has ended the connection; one that breaks is none.
+func (r *Reader) toEnd(m *Message, at int) error {
+	granted := false
+	for {
+		n := len(r.buf) - at
+		if n > MaxBody {
+			return bad(413, "the body is longer than %d bytes", MaxBody)
+		}
+		if n > KeepSize && !granted {
+			if err := r.room(MaxBody); err != nil {
+				return err
+			}
+			granted = true
+		}
+		if err := r.more(at + MaxBody + 1); err == io.EOF {
+			m.Body, r.pos = r.buf[at:len(r.buf):len(r.buf)], len(r.buf)
+			return nil
+		} else if err != nil {
+			return err
+		}
+	}
+}
+
 // room asks for what a body needs beyond what every reader may hold.
 func (r *Reader) room(n int) error {
 	if n > KeepSize && r.Grant != nil && !r.Grant(n) {
@@ -497,13 +524,14 @@
 
 // Body streams the body of the answer whose head was read last.
 func (r *Reader) Body(m *Message) io.Reader {
-	return &stream{r: r, left: m.length, chunks: m.length < 0}
+	return &stream{r: r, left: m.length, chunks: m.length < 0, toEnd: m.ToEnd}
 }
 
 type stream struct {
 	r      *Reader
 	left   int64 // of the chunk at hand, or the body
 	chunks bool
+	toEnd  bool
 	begun  bool
 	ended  bool
 }
@@ -523,11 +551,17 @@
 		}
 		s.left, s.ended = int64(n), n == 0
 	}
+	if s.toEnd {
+		s.left = int64(len(p))
+	}
 	if s.left <= 0 {
 		return 0, io.EOF
 	}
 	for r.Buffered() == 0 {
 		if err := r.compact(0); err != nil {
+			if s.toEnd && err == io.ErrUnexpectedEOF {
+				err = io.EOF
+			}
 			return 0, err
 		}
 	}
