An attempt whose request is over is called back; connections end without losing what crosses

Ruled out: requests refused by leave (they are answered), late ends of the core (Held is 0 at the end). Causes and lines: core.over left attempts in dial (their bytes left up to 0.25 s later); core.Take's deadline knew nothing of the end; client.next slept through it; client.watch stopped reading at the first early byte, so a close behind it was not seen; client.answered and Front.Close closed over unread bytes; line.begin wrote Request-Timeout before the dial, and a connection that came up for a target that drains, moved or restarted, or past a repeat's window, still sent.

--- a/internal/platform/core/core.go
+++ b/internal/platform/core/core.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"appleplank/internal/drive"
 	"appleplank/internal/platform/trace"
@@ -30,6 +31,7 @@
 const (
 	start actionKind = iota
 	drop
+	recall
 	answer
 	done
 	note
@@ -53,6 +55,7 @@
 	before  []action
 	attempt []*Attempt // pools
 	entry   []*entry
+	by      logic.Micros // all must be answered by then; 0: it does not end
 	tally   Tally
 	trace   *trace.Writer // nil: off
 }
@@ -64,7 +67,7 @@
 	volume   logic.VolumeID
 	units    float64
 	dropDead logic.Micros
-	out      int // attempts logic waits for
+	out      []*Attempt // logic waits for their ends
 	sends    int
 }
 
@@ -88,12 +91,17 @@
 func (c *Core) Take(now logic.Micros, r *Request) {
 	c.lastID++
 	e := c.newEntry()
-	*e = entry{id: c.lastID, r: r, volume: r.Volume, units: r.Units, dropDead: now + r.Left}
+	*e = entry{id: c.lastID, r: r, volume: r.Volume, units: r.Units, dropDead: now + r.Left, out: e.out[:0]}
+	if c.by > 0 {
+		e.dropDead = min(e.dropDead, c.by)
+	}
 	r.entry = e
 	c.entries[e.id] = e
 	c.tally.Taken++
 	c.tally.Held++
-	c.note(now, "taken", e.id, 0, 0, "-", 0, logic.NoLoad)
+	if c.trace != nil {
+		c.note(now, "taken", e.id, 0, 0, fmt.Sprintf("%s:%x:%g", r.ID, r.Volume, r.Units), r.Left, logic.NoLoad)
+	}
 	c.host.Tell(logic.Arrival{
 		Request: e.id, Class: r.Class, Cell: r.Cell, Key: r.Block, Volume: r.Volume, Plan: r.Plan,
 		Attached: r.Attached, Units: r.Units, DropDead: e.dropDead,
@@ -114,8 +122,25 @@
 	return true
 }
 
-// over ends a request for its front.
+// End says that the process ends: all that is held or comes must be answered by the given time. Found on the short
+// days: requests whose clients would wait for 29 s were held until the process was gone.
+func (c *Core) End(by logic.Micros) {
+	c.by = by
+	for _, e := range c.entries {
+		e.dropDead = min(e.dropDead, by)
+		for _, a := range e.out {
+			c.host.Bound(&a.Attempt, by)
+		}
+	}
+	c.host.Tell(logic.Ending{By: by})
+}
+
+// over ends a request for its front. Nothing more is sent for it: attempts that are out and have not left whole, as
+// their connection is still coming up, are called back. Found on the short days: such left 0.2 s after their client.
 func (c *Core) over(e *entry) {
+	for _, a := range e.out {
+		c.out = append(c.out, action{kind: recall, attempt: a})
+	}
 	e.r.entry = nil
 	e.r = nil
 	c.tally.Held--
@@ -123,7 +148,7 @@
 }
 
 func (c *Core) forget(e *entry) {
-	if e.r == nil && e.out == 0 && c.entries[e.id] == e {
+	if e.r == nil && len(e.out) == 0 && c.entries[e.id] == e {
 		delete(c.entries, e.id)
 		c.entry = append(c.entry, e)
 	}
@@ -142,7 +167,7 @@
 
 func (c *Core) tell(now logic.Micros, a *Attempt, res Result) {
 	e := a.e
-	e.out--
+	e.out = slices.DeleteFunc(e.out, func(x *Attempt) bool { return x == a })
 	c.tally.Outcomes[res.Outcome]++
 	c.note(now, "end", e.id, a.Number, a.Node, trace.Words[res.Outcome], now-a.Sent, res.Load)
 	c.host.Tell(logic.AttemptEnded{
@@ -239,8 +264,9 @@
 	if s.StopAt > 0 {
 		a.StopAt = min(a.StopAt, s.StopAt)
 	}
+	a.By = s.By
 	e.sends++
-	e.out++
+	e.out = append(e.out, a)
 	c.tally.Sends++
 	c.tally.Out++
 	c.note(now, "send", e.id, a.Number, a.Node, "-", 0, logic.NoLoad)
@@ -281,7 +307,7 @@
 func Places(list []members.Target) (out []Place) {
 	for _, t := range list {
 		if t.State != logic.Gone {
-			out = append(out, Place{Node: t.ID, Address: t.Address})
+			out = append(out, Place{t.ID, t.Address, t.Cell, t.Started, t.State == logic.Ready})
 		}
 	}
 	return out
--- a/internal/platform/core/request.go
+++ b/internal/platform/core/request.go
@@ -48,7 +48,8 @@
 // Attempt is one send of a request, from Start until its end was brought and the back is Done with it.
 type Attempt struct {
 	drive.Attempt
-	Conn any // the back's own
+	By   logic.Micros // it must have left by then, or not at all; 0: there is no such time
+	Conn any          // the back's own
 
 	e *entry
 }
@@ -69,14 +70,19 @@
 	Start(now logic.Micros, a *Attempt, r *Request)
 	// Drop gives an attempt up; its end is brought as of any other.
 	Drop(a *Attempt)
+	// Recall gives an attempt up that has not left whole; its end is brought as of any other.
+	Recall(a *Attempt)
 	// Done says that what its end brought was used.
 	Done(now logic.Micros, a *Attempt)
 	// Targets says where targets are from now on; those that are not named are gone.
 	Targets(now logic.Micros, list []Place)
 }
 
-// Place is where a target is reached.
+// Place is where a target is reached, and as what. An attempt that was meant for another place is not sent.
 type Place struct {
 	Node    logic.NodeID
 	Address string
+	Cell    int
+	Started logic.Micros
+	Takes   bool // new work: it does not drain
 }
--- a/internal/platform/core/shell.go
+++ b/internal/platform/core/shell.go
@@ -29,6 +29,7 @@
 	ended
 	nodes
 	room
+	ending
 )
 
 // input is something that happened. What is queued is bounded by what is out.
@@ -40,6 +41,7 @@
 	list    []logic.Node
 	places  []Place
 	room    int
+	by      logic.Micros
 }
 
 // NewShell makes a shell whose steps begin pace apart at least. All initiators read one clock, by which hosts share
@@ -69,6 +71,9 @@
 // Room says how many requests may be held at once from now on.
 func (s *Shell) Room(requests int) { s.loop.Post(input{kind: room, room: requests}) }
 
+// End says that all that is held or comes must be answered by the given time.
+func (s *Shell) End(by logic.Micros) { s.loop.Post(input{kind: ending, by: by}) }
+
 // Ended brings the end of an attempt.
 func (s *Shell) Ended(a *Attempt, res Result) {
 	s.loop.Post(input{kind: ended, attempt: a, result: res})
@@ -108,6 +113,8 @@
 			c.Ended(now, x.attempt, x.result)
 		case room:
 			c.Room(x.room)
+		case ending:
+			c.End(x.by)
 		case nodes:
 			s.back.Targets(now, x.places)
 			if len(x.list) > 0 {
@@ -121,6 +128,8 @@
 			s.back.Start(now, a.attempt, a.request)
 		case drop:
 			s.back.Drop(a.attempt)
+		case recall:
+			s.back.Recall(a.attempt)
 		case answer:
 			a.request.Front.Answer(now, a.request, a.answer)
 		case done:
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -27,6 +27,7 @@
 	Take(r *core.Request)
 	Gone(r *core.Request)
 	Room(requests int)
+	End(by logic.Micros)
 }
 
 // Front serves the clients of one listener.
@@ -44,8 +45,10 @@
 	open  map[uint64]struct{} // ids of requests that are held, hashed
 	tally Tally
 	swept *time.Timer
-	ended bool
-	room  int // as the taker was told
+	last  bool          // nothing more is taken
+	ended bool          // no more connections are
+	woken chan struct{} // closed when connections that rest are listened to again
+	room  int           // as the taker was told
 	wait  sync.WaitGroup
 }
 
@@ -64,7 +67,7 @@
 
 // New serves the clients of a listener.
 func New(l net.Listener, s *Service, t Taker, table *seats.Table, end *leave.Leave, log *zap.Logger) *Front {
-	f := &Front{listener: l, service: s, taker: t, seats: table, leave: end, log: log, open: map[uint64]struct{}{}, seed: maphash.MakeSeed()}
+	f := &Front{listener: l, service: s, taker: t, seats: table, leave: end, log: log, open: map[uint64]struct{}{}, seed: maphash.MakeSeed(), woken: make(chan struct{})}
 	f.swept = time.AfterFunc(sweep, f.sweep)
 	f.tellRoom()
 	return f
@@ -117,8 +120,11 @@
 	f.mu.Lock()
 	f.leave.Told(f.taker.Now())
 	f.seats.Ending()
-	taken := f.seats.Taken()
+	close(f.woken)
+	f.woken = make(chan struct{})
+	taken, by := f.seats.Taken(), f.leave.Till()
 	f.mu.Unlock()
+	f.taker.End(by)
 	f.tellRoom()
 	f.log.Info("told to end", zap.Int("connections", taken))
 }
@@ -130,12 +136,35 @@
 	return f.leave.Over(f.taker.Now(), f.seats.Taken(), f.seats.Busy())
 }
 
-// Close ends the listener and all connections; requests must have been answered.
+// Close ends the listener and all connections; requests must have been answered. Clients have a moment to read what
+// was answered last, and those whose request crossed the end of their connection are told so when they send it again:
+// a close over what they have just sent would reset the connection under both.
 func (f *Front) Close() {
+	now := f.taker.Now()
+	f.mu.Lock()
+	f.last = true
+	f.swept.Stop()
+	close(f.woken)
+	f.woken = make(chan struct{})
+	for _, s := range f.seats.All() {
+		switch c := s.Owner.(*client); s.State() {
+		case seats.Speaking, seats.Resuming:
+			c.conn.TryWrite(appendError(nil, &reject{503, "ending"}))
+			c.linger(now)
+		case seats.Idle:
+			if !c.conn.Waiting() {
+				c.linger(now)
+			}
+		}
+	}
+	left := f.seats.Taken()
+	f.mu.Unlock()
+	if left > 0 {
+		time.Sleep(lastLook)
+	}
 	f.listener.Close()
 	f.mu.Lock()
 	f.ended = true
-	f.swept.Stop()
 	for _, s := range f.seats.All() {
 		f.seats.Leave(s)
 		s.Owner.(*client).conn.Close()
@@ -144,24 +173,39 @@
 	f.wait.Wait()
 }
 
+// lastLook is how long clients have at the end.
+const lastLook = 40 * time.Millisecond
+
 func (f *Front) sweep() {
-	now := f.taker.Now()
 	f.mu.Lock()
-	if f.ended {
+	if f.last {
 		f.mu.Unlock()
 		return
 	}
+	f.endOverdue(f.taker.Now())
+	f.swept.Reset(sweep)
+	f.mu.Unlock()
+	f.tellRoom()
+}
+
+// endOverdue ends the connections that have taken too long. Under the lock.
+func (f *Front) endOverdue(now logic.Micros) {
 	for s := f.seats.Overdue(now); s != nil; s = f.seats.Overdue(now) {
-		c := s.Owner.(*client)
-		if st := s.State(); st == seats.Speaking || st == seats.Resuming {
+		switch c := s.Owner.(*client); s.State() {
+		case seats.Speaking, seats.Resuming:
 			c.conn.TryWrite(appendError(nil, &reject{408, "the request does not end"}))
+			c.linger(now)
+		case seats.Idle:
+			if c.conn.Waiting() {
+				f.seats.Move(now, s, seats.Resuming) // a request has come in this moment
+			} else {
+				c.linger(now)
+			}
+		default:
+			f.seats.Leave(s)
+			c.conn.Close()
 		}
-		f.seats.Leave(s)
-		c.conn.Close()
 	}
-	f.swept.Reset(sweep)
-	f.mu.Unlock()
-	f.tellRoom()
 }
 
 // tellRoom tells the taker how many requests it may hold, when that has changed.
@@ -188,8 +232,9 @@
 	id     uint64
 	what   uint64
 	rest   logic.Micros
-	ending bool // closes after its answer
-	left   bool // the client has closed, or sent more than it may
+	rested logic.Micros // for how long the request at hand has waited to be read
+	ending bool         // closes after its answer: asked for, or more was sent than may be
+	left   bool         // the client has closed
 	out    []byte
 	sent   chan struct{} // closed when an answer that the client is slow to take has left; nil: there is none
 }
@@ -229,7 +274,12 @@
 			c.reject(now, &reject{400, "more than one request at a time"})
 			return
 		}
-		if why := c.take(now, m.Close); why != nil {
+		why, gone := c.take(now, m.Close)
+		if gone {
+			c.end()
+			return
+		}
+		if why != nil {
 			c.reject(now, why)
 			return
 		}
@@ -244,11 +294,22 @@
 func (c *client) next(r *http1.Reader, first bool) bool {
 	f := c.f
 	f.mu.Lock()
-	rest := c.rest
-	c.rest = 0
+	rest, woken := c.rest, f.woken
+	c.rest, c.rested = 0, 0
 	f.mu.Unlock()
 	if rest > 0 {
-		time.Sleep(time.Duration(rest) * time.Microsecond)
+		begun := f.taker.Now()
+		pause := time.NewTimer(time.Duration(rest) * time.Microsecond)
+		select {
+		case <-pause.C:
+		case <-woken:
+			pause.Stop()
+		}
+		f.mu.Lock()
+		if r.Buffered() > 0 || c.conn.Waiting() {
+			c.rested = f.taker.Now() - begun // who comes back at once has waited since
+		}
+		f.mu.Unlock()
 	}
 	if err := r.Wait(); err != nil {
 		c.end()
@@ -260,8 +321,12 @@
 	}
 	f.mu.Lock()
 	f.seats.Move(f.taker.Now(), c.seat, to)
+	over := c.seat.Over()
 	f.mu.Unlock()
-	return true
+	if over {
+		c.drain() // it crossed the end of the connection: nothing of it is taken
+	}
+	return !over
 }
 
 // hold takes room for a body.
@@ -271,48 +336,70 @@
 	return c.f.seats.Hold(c.seat, n)
 }
 
-// take books a request in.
-func (c *client) take(now logic.Micros, last bool) *reject {
+// take books a request in, unless its client has left already: one that rested, or is read late, may have.
+func (c *client) take(now logic.Micros, last bool) (why *reject, gone bool) {
 	f := c.f
 	id := maphash.Bytes(f.seed, c.req.ID)
 	what := maphash.Bytes(f.seed, c.req.Target)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if c.conn.Ended() {
+		f.tally.Left++
+		return nil, true
+	}
 	room, ok := f.leave.Room(now, c.req.Left)
-	if !ok {
-		return &reject{503, "ending"}
+	if !ok || f.last {
+		return &reject{503, "ending"}, false
 	}
-	c.req.Left = room
+	c.req.Left = max(min(room, c.req.Left-c.rested), 1)
 	if _, open := f.open[id]; open {
-		return &reject{409, "a request with that id is open"}
+		return &reject{409, "a request with that id is open"}, false
 	}
 	if c.rest, ok = f.seats.Ask(now, c.seat, what); !ok {
-		return &reject{503, "no room for another request"}
+		return &reject{503, "no room for another request"}, false
 	}
 	f.open[id] = struct{}{}
 	c.id, c.what, c.held, c.ending = id, what, true, last
 	c.req.Front = c
 	f.tally.Taken++
-	return nil
+	return nil, false
 }
 
+// mostEarly bounds what a client may send behind a request that is held, or behind its last answer; it is read, as
+// nothing else shows that the client has left, and thrown away. Who sends more is taken for gone.
+const mostEarly = 256 << 10
+
 // watch waits until the request was answered and the next one begins, or the client leaves; false: this goroutine
 // has no more to do.
 func (c *client) watch(r *http1.Reader) bool {
 	f := c.f
 	err := r.Wait()
-	f.mu.Lock()
-	if c.held {
-		// It has left, or speaks out of turn and will be closed with its answer. Only one that has left is given up.
-		c.left = true
-		if err != nil {
+	var early []byte
+	for n := r.Buffered(); ; {
+		f.mu.Lock()
+		if !c.held {
+			break
+		}
+		// It has left, or speaks out of turn: its connection ends with its answer, which says that what is behind the
+		// request was not taken.
+		c.ending = true
+		if err != nil || n > mostEarly {
+			c.left = err != nil
 			f.tally.Left++
+			f.mu.Unlock()
+			f.taker.Gone(&c.req)
+			if err == nil {
+				c.drain()
+			}
+			return false
 		}
 		f.mu.Unlock()
-		if err != nil {
-			f.taker.Gone(&c.req)
+		if early == nil {
+			early = make([]byte, 4<<10)
 		}
-		return false
+		var k int
+		k, err = c.conn.Read(early)
+		n += k
 	}
 	sent := c.sent
 	f.mu.Unlock()
@@ -324,9 +411,34 @@
 		c.end()
 		return false
 	}
+	if early != nil {
+		c.drain()
+		return false
+	}
 	return true
 }
 
+// linger ends the connection for writing, so that the client reads all that was answered, and has [client.drain] take
+// what still comes. Under the lock.
+func (c *client) linger(now logic.Micros) {
+	c.conn.CloseWrite()
+	c.f.seats.Move(now, c.seat, seats.Lingering)
+}
+
+// drain throws away what comes on a connection that lingers, until the client closes it, sends too much, or its time
+// is up.
+func (c *client) drain() {
+	b := make([]byte, 4<<10)
+	for n := 0; n < mostEarly; {
+		k, err := c.conn.Read(b)
+		if err != nil {
+			break
+		}
+		n += k
+	}
+	c.end()
+}
+
 // Answer implements [core.Front].
 func (c *client) Answer(now logic.Micros, r *core.Request, a core.Answer) {
 	f := c.f
@@ -338,7 +450,7 @@
 	if a.Verdict == core.Refused {
 		f.seats.Refused(now, c.seat, c.what)
 	}
-	last := c.ending || c.left || f.leave.Last(now) || f.seats.Last(c.seat)
+	last := c.ending || f.leave.Last(now) || f.seats.Last(c.seat)
 	c.out = appendHead(c.out[:0], a, last)
 	var rest []byte
 	n, err := 0, error(nil)
@@ -366,7 +478,8 @@
 		}
 		last = true
 	}
-	c.answered(now, last || err != nil)
+	c.left = c.left || err != nil
+	c.answered(now, last)
 }
 
 // keepOut is the largest buffer that a connection keeps for its answers.
@@ -374,12 +487,15 @@
 
 // answered says that the answer has left. Under the lock.
 func (c *client) answered(now logic.Micros, last bool) {
-	if last {
+	switch {
+	case c.left:
 		c.f.seats.Leave(c.seat)
 		c.conn.Close()
-		return
+	case last:
+		c.linger(now)
+	default:
+		c.f.seats.Move(now, c.seat, seats.Idle)
 	}
-	c.f.seats.Move(now, c.seat, seats.Idle)
 }
 
 // finish writes what the socket did not take at once.
@@ -388,7 +504,8 @@
 	_, err := c.conn.Write(b) // seats ends the connection where it takes too long
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c.answered(f.taker.Now(), last || err != nil)
+	c.left = c.left || err != nil
+	c.answered(f.taker.Now(), last)
 	close(c.sent)
 	c.sent = nil
 }
@@ -403,21 +520,23 @@
 		text = unwell
 	}
 	n, err := c.conn.TryWrite(text)
-	last := err != nil || n < len(text)
-	c.answered(now, last)
-	return !last
+	c.left = err != nil || n < len(text)
+	c.answered(now, false)
+	return !c.left
 }
 
 // reject answers what cannot be taken and ends the connection, with time for the client to read why.
 func (c *client) reject(now logic.Micros, why *reject) {
 	f := c.f
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.tally.Rejected++
 	f.log.Debug("rejected", zap.String("why", why.why))
-	c.conn.TryWrite(appendError(c.out[:0], why))
-	c.conn.CloseWrite()
-	f.seats.Move(now, c.seat, seats.Lingering)
+	if !c.seat.Over() { // else it was told so
+		c.conn.TryWrite(appendError(c.out[:0], why))
+		c.linger(now)
+	}
+	f.mu.Unlock()
+	c.drain()
 }
 
 // end closes the connection.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"os"
@@ -61,7 +62,7 @@
 	}
 	b := bounds.For(cfg.Limits.Cores, cfg.Limits.MemoryMB, cfg.Limits.Sockets)
 	s := cfg.Settings
-	cfg.Logic.HeldPart = heldPart
+	cfg.Logic.HeldPart, cfg.Logic.SendLate = heldPart, logic.Micros(s.Limits.ConnectTimeoutUs)
 	c, err := core.New(cfg.Logic, cfg.Seed)
 	if err != nil {
 		return nil, err
@@ -113,7 +114,8 @@
 func (in *Initiator) Run(ctx context.Context, reload <-chan os.Signal) error {
 	served := make(chan error, 1)
 	go func() { served <- in.front.Serve() }()
-	var again <-chan time.Time
+	var again, look <-chan time.Time
+	ending := ctx.Done()
 	tries := 0
 	for {
 		select {
@@ -124,9 +126,19 @@
 		case <-again:
 			tries++
 			again = in.reload(tries)
-		case <-ctx.Done():
-			in.drain()
-			return nil
+		case <-ending:
+			// It serves what still comes, and answers all that is held; discovery may move meanwhile too.
+			ending = nil
+			in.log.Info("ending")
+			in.front.Drain()
+			tick := time.NewTicker(lookAgain)
+			defer tick.Stop()
+			look = tick.C
+		case <-look:
+			if in.front.Over() {
+				in.close()
+				return nil
+			}
 		}
 	}
 }
@@ -147,18 +159,16 @@
 		return nil
 	}
 	in.log.Info("a new configuration", zap.String("discovery", cfg.Discovery))
-	// Limits and settings count from the next start on.
+	if cfg.Limits != in.cfg.Limits || !bytes.Equal(cfg.Text, in.cfg.Text) {
+		// Requests that are held were taken by the old ones, and none may be judged partly by each.
+		in.log.Warn("its limits or settings differ from those in use, which hold until the next start")
+	}
 	in.watch.Use(cfg.Discovery)
 	return nil
 }
 
-// drain serves what still comes, answers all that is held, and ends.
-func (in *Initiator) drain() {
-	in.log.Info("ending")
-	in.front.Drain()
-	for !in.front.Over() {
-		time.Sleep(lookAgain)
-	}
+// close ends what is left once nothing is held any more.
+func (in *Initiator) close() {
 	in.watch.Close()
 	in.front.Close()
 	in.back.Close()
--- a/internal/platform/target/message.go
+++ b/internal/platform/target/message.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"slices"
 	"strconv"
 
 	"appleplank/internal/http1"
@@ -29,8 +30,8 @@
 	return f
 }
 
-// appendRequest writes an attempt. Patience is how long its answer is waited for.
-func appendRequest(b []byte, host string, patience logic.Micros, r *core.Request) []byte {
+// appendRequest writes an attempt, but for how long its answer is waited for: stamp puts that at gap once it leaves.
+func appendRequest(b []byte, host string, r *core.Request) (out []byte, gap int) {
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.Target...)
@@ -43,14 +44,20 @@
 		b = append(b, r.Once...)
 	}
 	b = append(b, "\r\nRequest-Timeout: "...)
-	b = strconv.AppendInt(b, int64(max(patience, 1)), 10)
+	gap = len(b)
 	b = append(b, 'u')
 	if len(r.Body) > 0 || string(r.Method) != "GET" {
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
 	}
 	b = append(b, "\r\n\r\n"...)
-	return append(b, r.Body...)
+	return append(b, r.Body...), gap
+}
+
+// stamp puts the time that is left into a request that was written down.
+func stamp(b []byte, gap int, patience logic.Micros) []byte {
+	var digits [20]byte
+	return slices.Insert(b, gap, strconv.AppendInt(digits[:0], int64(max(patience, 1)), 10)...)
 }
 
 // result tells what an answer says of its attempt.
--- a/internal/platform/target/target.go
+++ b/internal/platform/target/target.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -32,6 +33,8 @@
 	Connect time.Duration // a connection that is not up by then is none
 	Fields  Fields        // of load reports
 	Trace   *trace.Writer // nil: off
+	// Dial connects by TCP; nil: as the system does.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Back implements [core.Back].
@@ -41,7 +44,7 @@
 
 	mu     sync.Mutex // never held while the sink is told
 	spares *spares.Set
-	places map[logic.NodeID]string
+	places map[logic.NodeID]core.Place
 	lines  map[*line]struct{}
 	swept  *time.Timer
 	closed bool
@@ -57,8 +60,11 @@
 
 // New makes a back.
 func New(set Settings, sink Sink) *Back {
+	if set.Dial == nil {
+		set.Dial = new(net.Dialer).DialContext
+	}
 	b := &Back{set: set, sink: sink, spares: spares.New(set.Most, set.Room, set.Idle),
-		places: map[logic.NodeID]string{}, lines: map[*line]struct{}{}}
+		places: map[logic.NodeID]core.Place{}, lines: map[*line]struct{}{}}
 	b.swept = time.AfterFunc(sweep, b.sweep)
 	return b
 }
@@ -78,19 +84,20 @@
 
 // line is one connection.
 type line struct {
-	back    *Back
-	spare   spares.Line
-	node    logic.NodeID
-	address string
-	cancel  context.CancelFunc // of a dial
+	back   *Back
+	spare  spares.Line
+	place  core.Place
+	cancel context.CancelFunc // of a dial
 
 	// Under the back's lock.
 	state   state
 	attempt *core.Attempt
 	written bool // the attempt's last byte has left
 	dropped bool
+	recall  bool // dropped before it had left whole
 	conn    *sock.Conn
 	out     []byte // what is written of the attempt
+	gap     int    // where the time that is left goes into it
 	sent    int
 	spent   bool // to be closed once its end is used
 	stray   bool // something has come while nothing was out
@@ -119,8 +126,9 @@
 			b.end(l)
 			continue
 		}
-		l.begin(now, a, r)
-		if !l.write() {
+		l.begin(a, r)
+		l.state = busy
+		if !l.write(now) {
 			l.attempt = nil
 			b.end(l)
 			continue
@@ -131,8 +139,8 @@
 		b.mu.Unlock()
 		return
 	}
-	address, room := b.places[a.Node], false
-	if address != "" && !b.closed {
+	place, room := b.places[a.Node], false
+	if place.Takes && !b.closed {
 		var out *spares.Line
 		if out, room = b.spares.Dial(); out != nil {
 			b.end(out.Owner.(*line))
@@ -144,9 +152,9 @@
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), b.set.Connect)
-	l := &line{back: b, node: a.Node, address: address, cancel: cancel}
+	l := &line{back: b, place: place, cancel: cancel}
 	l.spare.Owner = l
-	l.begin(now, a, r)
+	l.begin(a, r)
 	l.state = dialling
 	b.lines[l] = struct{}{}
 	b.tally.Dialled++
@@ -155,15 +163,16 @@
 }
 
 // begin takes an attempt and writes down its request.
-func (l *line) begin(now logic.Micros, a *core.Attempt, r *core.Request) {
-	l.state, l.attempt, l.written, l.dropped, l.spent, l.sent, l.rested = busy, a, false, false, false, 0, nil
-	l.out = appendRequest(l.out[:0], l.address, a.StopAt-now, r)
+func (l *line) begin(a *core.Attempt, r *core.Request) {
+	l.attempt, l.written, l.dropped, l.recall, l.spent, l.sent, l.rested = a, false, false, false, false, 0, nil
+	l.out, l.gap = appendRequest(l.out[:0], l.place.Address, r)
 	a.Conn = l
 }
 
 // write writes what the socket takes of the attempt at once, and leaves the rest to a goroutine; false: it takes
 // nothing any more. One that breaks later is seen by its reader.
-func (l *line) write() bool {
+func (l *line) write(now logic.Micros) bool {
+	l.out = stamp(l.out, l.gap, l.attempt.StopAt-now)
 	n, err := l.conn.TryWrite(l.out)
 	l.sent, l.written = n, n == len(l.out)
 	if !l.written && err == nil {
@@ -181,16 +190,24 @@
 }
 
 // Drop implements [core.Back].
-func (b *Back) Drop(a *core.Attempt) {
+func (b *Back) Drop(a *core.Attempt) { b.give(a, false) }
+
+// Recall implements [core.Back].
+func (b *Back) Recall(a *core.Attempt) { b.give(a, true) }
+
+// give gives an attempt up; part: only where it has not left whole.
+func (b *Back) give(a *core.Attempt, part bool) {
 	b.mu.Lock()
-	if l, ok := a.Conn.(*line); ok && l.attempt == a && (l.state == busy || l.state == dialling) {
-		l.dropped = true
-		if l.conn != nil {
-			l.conn.Shut() // its reader brings the end
-		}
-		l.cancel()
+	defer b.mu.Unlock()
+	l, ok := a.Conn.(*line)
+	if !ok || l.attempt != a || l.state != busy && l.state != dialling || part && l.written {
+		return
 	}
-	b.mu.Unlock()
+	l.dropped, l.recall = true, l.recall || part
+	if l.conn != nil {
+		l.conn.Shut() // its reader brings the end
+	}
+	l.cancel()
 }
 
 // Done implements [core.Back].
@@ -200,11 +217,11 @@
 		l.attempt = nil
 		l.free()
 		if l.state == told {
-			if l.spent || b.closed || b.places[l.node] != l.address {
+			if l.spent || b.closed || !b.stands(l) {
 				b.end(l)
 			} else {
 				l.state = idle
-				b.spares.Idle(now, l.node, &l.spare)
+				b.spares.Idle(now, l.place.Node, &l.spare)
 			}
 		}
 	}
@@ -217,15 +234,18 @@
 	defer b.mu.Unlock()
 	clear(b.places)
 	for _, p := range list {
-		b.places[p.Node] = p.Address
+		b.places[p.Node] = p
 	}
 	for l := range b.lines {
-		if l.state == idle && b.places[l.node] != l.address {
+		if l.state == idle && !b.stands(l) {
 			b.end(l)
 		}
 	}
 }
 
+// stands tells whether a connection still leads where it should. Under the lock.
+func (b *Back) stands(l *line) bool { return b.places[l.place.Node].Address == l.place.Address }
+
 // end closes a connection that has no attempt out. Under the lock.
 func (b *Back) end(l *line) {
 	if l.state == over {
@@ -263,7 +283,7 @@
 	for l := range b.lines {
 		if l.state == idle || l.state == told {
 			b.end(l)
-		} else if l.conn != nil {
+		} else if l.dropped = true; l.conn != nil {
 			l.conn.Shut()
 		}
 		l.cancel()
@@ -292,16 +312,22 @@
 func (l *line) run(ctx context.Context) {
 	b := l.back
 	defer l.cancel()
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", l.address)
+	raw, err := b.set.Dial(ctx, "tcp", l.place.Address)
 	var conn *sock.Conn
 	if err == nil {
 		conn, err = sock.New(raw.(*net.TCPConn))
 	}
 	b.mu.Lock()
-	if err == nil && (l.dropped || b.closed) {
-		err = context.Canceled
-		raw.Close()
+	now := b.sink.Now()
+	if err == nil {
+		// It may have come up late: what the attempt was sent for need not hold any more.
+		if a := l.attempt; b.places[l.place.Node] != l.place || a.StopAt <= now || a.By > 0 && a.By <= now {
+			l.recall = true
+		}
+		if l.dropped || l.recall || b.closed {
+			err = context.Canceled
+			raw.Close()
+		}
 	}
 	if err != nil {
 		b.tally.DialFailed++
@@ -311,7 +337,7 @@
 	defer conn.Close()
 	conn.Guard(&b.mu, func() { l.stray = l.stray || l.state != busy })
 	l.conn, l.state = conn, busy
-	l.write()
+	l.write(now)
 	b.trace("send", l, "new")
 	b.mu.Unlock()
 	r := http1.NewReader(conn)
@@ -385,6 +411,9 @@
 	}
 	cut := l.rests()
 	b.mu.Lock()
+	if err == nil && m.ToEnd && l.dropped {
+		err = io.ErrUnexpectedEOF // it was cut here, not ended there
+	}
 	if odd, spoilt := err.(*http1.Error); spoilt {
 		b.tally.Spoilt++
 		b.trace("end", l, "spoilt:"+strings.ReplaceAll(odd.What, " ", "-"))
@@ -419,6 +448,9 @@
 			how = logic.ConnectFailed
 		}
 	}
+	if l.recall && !l.written {
+		how = logic.Moot // it says nothing of the target
+	}
 	if how != logic.Failed && !l.dropped {
 		b.spares.Ended(b.sink.Now(), &l.spare, true)
 	}
@@ -464,5 +496,5 @@
 		how = "closed"
 	}
 	now := b.sink.Now()
-	b.set.Trace.Put(trace.Line{At: now, Side: "wire", What: "idle", Node: l.node, Outcome: how, Took: now - l.answered, Load: -1})
+	b.set.Trace.Put(trace.Line{At: now, Side: "wire", What: "idle", Node: l.place.Node, Outcome: how, Took: now - l.answered, Load: -1})
 }
--- a/internal/platform/trace/trace.go
+++ b/internal/platform/trace/trace.go
@@ -60,7 +60,7 @@
 
 // Keep flushes now and then until stop is closed.
 func (t *Writer) Keep(stop <-chan struct{}) {
-	tick := time.NewTicker(time.Second)
+	tick := time.NewTicker(100 * time.Millisecond)
 	defer tick.Stop()
 	for {
 		select {
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -109,6 +109,15 @@
 
 var errUnasked = errors.New("bytes that nobody asked for")
 
+// Ended tells whether the peer has closed with nothing left to be read, or the connection broke.
+func (s *Conn) Ended() bool {
+	err := s.Quiet()
+	return err != nil && err != errUnasked
+}
+
+// Waiting tells whether bytes of the peer wait to be read.
+func (s *Conn) Waiting() bool { return s.Quiet() == errUnasked }
+
 // TryWrite writes what the socket takes at once, which may be less than all without an error.
 func (s *Conn) TryWrite(b []byte) (int, error) {
 	s.b, s.n, s.err = b, 0, nil
--- a/leave/leave.go
+++ b/leave/leave.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// till is when the last answer must have left.
-func (l *Leave) till() logic.Micros { return l.begun + l.longest + graceTime - margin }
+// Till is when the last answer must have left.
+func (l *Leave) Till() logic.Micros { return l.begun + l.longest + graceTime - margin }
 
 // Room is the patience that a request that comes now is taken with, at most the given one; false: it must be refused,
 // and its connection closed.
@@ -47,18 +47,18 @@
 	if !l.told {
 		return patience, true
 	}
-	room := l.till() - now
+	room := l.Till() - now
 	return min(patience, room), room >= leastRoom
 }
 
 // Last tells whether a connection ends with its next answer: not before the end is near, as clients that lose theirs
 // have nowhere to go until the process is back.
-func (l *Leave) Last(now logic.Micros) bool { return l.told && now >= l.till()-leastRoom }
+func (l *Leave) Last(now logic.Micros) bool { return l.told && now >= l.Till()-leastRoom }
 
 // Over tells whether the process may end, by how many connections and requests it holds.
 func (l *Leave) Over(now logic.Micros, connections, requests int) bool {
 	if !l.told || now < l.begun+coming {
 		return false
 	}
-	return connections == 0 || now >= l.till() && requests == 0 || now >= l.till()+margin/2
+	return connections == 0 || now >= l.Till() && requests == 0 || now >= l.Till()+margin/2
 }
--- a/seats/seats.go
+++ b/seats/seats.go
@@ -169,9 +169,10 @@
 	return s, out
 }
 
-// Move says that a connection is at something else now. What is idle holds no body.
+// Move says that a connection is at something else now. What is idle holds no body, and what was told that it ends
+// comes to nothing else.
 func (t *Table) Move(now logic.Micros, s *Seat, to State) {
-	if s.state == to && to != Idle || s.Gone() {
+	if s.state == to && to != Idle || s.Over() {
 		return
 	}
 	t.pull(s)
@@ -206,9 +207,12 @@
 // Gone tells whether the seat was freed.
 func (s *Seat) Gone() bool { return s.since < 0 }
 
+// Over tells whether nothing that comes on the connection is taken any more.
+func (s *Seat) Over() bool { return s.Gone() || s.state == Lingering }
+
 // Hold takes room for a body; false: there is none, and the request must be refused.
 func (t *Table) Hold(s *Seat, bytes int) bool {
-	if s.Gone() || t.held+bytes > t.limits.Bodies {
+	if s.Over() || t.held+bytes > t.limits.Bodies {
 		return false
 	}
 	s.body += bytes
@@ -254,7 +258,7 @@
 // Ask is asked when a request has come whole: whether it is taken, and for how long its connection is not listened to
 // after the answer.
 func (t *Table) Ask(now logic.Micros, s *Seat, what uint64) (rest logic.Micros, taken bool) {
-	if s.Gone() || t.limits.Open > 0 && t.lists[Open].n >= t.limits.Open {
+	if s.Over() || t.limits.Open > 0 && t.lists[Open].n >= t.limits.Open {
 		return 0, false
 	}
 	rest = t.rest(now, s, what)
@@ -268,6 +272,9 @@
 		return 0
 	}
 	s.rest = min(firstRest<<min(s.rests, 10), mostRest)
+	if t.ending {
+		s.rest = firstRest // a request that is not read by the end is lost
+	}
 	s.rests++
 	t.Tally.Rested++
 	return s.rest
