logic: a request on its way keeps its place in the slice until a node may have seen it

Now what is charged and not known to be at a node lowers what the slice may hold (volume.pending), and is given back only when the request is over. Also: core tests of calling back (an attempt that leaves once its request is over fails) and of the end (TestEndBoundsAll).

--- a/internal/platform/core/core_test.go
+++ b/internal/platform/core/core_test.go
@@ -34,20 +34,31 @@
 	f.body = string(a.Body)
 }
 
+// carried is an attempt in the back's hands.
+type carried struct {
+	r        *Request
+	left     bool // its last byte
+	recalled bool
+}
+
 // run carries the actions of a step out, as the shell does, with attempts into out.
-func run(c *Core, now logic.Micros, out map[*Attempt]bool) {
+func run(c *Core, now logic.Micros, out map[*Attempt]*carried) {
 	for {
 		for _, a := range c.step(now) {
 			switch a.kind {
 			case start:
-				if out[a.attempt] {
+				if out[a.attempt] != nil {
 					panic("an attempt that is out was started")
 				}
-				out[a.attempt] = true
-			case drop:
-				if !out[a.attempt] {
+				out[a.attempt] = &carried{r: a.request}
+			case drop, recall:
+				x := out[a.attempt]
+				if x == nil && a.kind == drop {
 					panic("an attempt that is not out was dropped")
 				}
+				if x != nil {
+					x.recalled = x.recalled || !x.left
+				}
 			case answer:
 				a.request.Front.Answer(now, a.request, a.answer)
 			case done:
@@ -79,7 +90,7 @@
 			gone bool
 		}
 		var all, open []*one
-		out := map[*Attempt]bool{}
+		out, over := map[*Attempt]*carried{}, map[*Request]bool{}
 		for range 3000 {
 			now += logic.Micros(rng.Int64N(3000))
 			if rng.IntN(3) == 0 && len(all) < 700 {
@@ -96,7 +107,12 @@
 					x.gone = true
 				}
 			}
-			for a := range out {
+			for a, x := range out {
+				if !x.left && !x.recalled && rng.IntN(4) == 0 {
+					if x.left = true; over[x.r] {
+						t.Fatalf("seed %d: an attempt leaves when its request is over", seed)
+					}
+				}
 				if rng.IntN(8) == 0 {
 					delete(out, a)
 					c.Ended(now, a, Result{Outcome: logic.Outcome(rng.IntN(8)), Load: logic.NoLoad})
@@ -116,11 +132,13 @@
 			run(c, now, out)
 			keep := open[:0]
 			for _, x := range open {
-				if x.answers == 0 && !x.gone {
-					keep = append(keep, x)
-					if now > x.by+20_000 {
-						t.Fatalf("seed %d: no answer %d us after its time", seed, now-x.by)
-					}
+				if x.answers > 0 || x.gone {
+					over[&x.Request] = true
+					continue
+				}
+				keep = append(keep, x)
+				if now > x.by+20_000 {
+					t.Fatalf("seed %d: no answer %d us after its time", seed, now-x.by)
 				}
 			}
 			open = keep
@@ -149,6 +167,42 @@
 	}
 }
 
+// Told that the process ends, it answers all that is held, and what still comes, by then.
+func TestEndBoundsAll(t *testing.T) {
+	c, _ := New(settings(), 1)
+	now := logic.Micros(1_000_000_000)
+	c.Nodes(listKind, []logic.Node{{ID: 1, State: logic.Ready}})
+	fronts := make([]*recorder, 12)
+	out := map[*Attempt]*carried{}
+	ask := func(i int) {
+		fronts[i] = &recorder{t: t}
+		c.Take(now, &Request{Class: 1, Plan: 1, Attached: 1, Units: 1, Left: 25_000_000, Volume: logic.VolumeID(i), Front: fronts[i]})
+		run(c, now, out)
+	}
+	for i := range 8 { // some go to a target that hangs, others wait
+		ask(i)
+	}
+	by := now + 2_000_000
+	c.End(by)
+	run(c, now, out)
+	now += 1_000_000
+	for i := 8; i < 12; i++ {
+		ask(i)
+	}
+	for now < by+2*settings().Tick {
+		now += settings().Tick
+		run(c, now, out)
+	}
+	for i, f := range fronts {
+		if f.answers != 1 {
+			t.Errorf("request %d: %d answers by the end", i, f.answers)
+		}
+	}
+	if ta := c.Tally(); ta.Held != 0 || ta.Sends == 0 {
+		t.Errorf("%+v", ta)
+	}
+}
+
 // A late answer to an attempt that was given up reaches nobody.
 func TestLateAnswer(t *testing.T) {
 	c, _ := New(settings(), 1)
@@ -157,7 +211,7 @@
 	f := &recorder{t: t}
 	r := &Request{Class: 0, Plan: 1, Attached: 1, Units: 1, Left: 50_000, Front: f}
 	c.Take(now, r)
-	out := map[*Attempt]bool{}
+	out := map[*Attempt]*carried{}
 	run(c, now, out)
 	if len(out) != 1 {
 		t.Fatal("not sent")
--- a/logic/api.go
+++ b/logic/api.go
@@ -90,7 +90,7 @@
 	HeldPart       float64 // part of its time after which a request that never left is better refused; 0: all of it
 	MaxAttempts    int     // attempts allowed for one request; 0: no bound
 	SecondCopies   bool    // two attempts of a request may be out at once
-	SendLate       Micros  // a send draws on its limit when it reaches its node, up to so much later; 0: at once
+	DrawnAtNode    bool    // a request draws on its limit when it reaches a node, not with its Send
 	MayCancel      bool
 	MayProbe       bool
 	CoolDowns      bool    // clients are told when to come back
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -271,14 +271,8 @@
 	ran := e.Outcome == Failed
 	switch e.Outcome {
 	case ConnectFailed, Moot:
-		// Where nodes count, what none has seen has drawn nothing. Charged by its first send alone, a request
-		// reached one up to nine seconds later, when the slice had filled again and was given out twice.
-		if v := r.vol; h.set.SendLate > 0 && r.charged && r.tried == 0 && !r.reached && r.out == 0 {
-			r.charged = false
-			v.store, v.stored = h.fill(v)+r.units, h.now
-		}
 	default:
-		r.reached = true
+		r.reached()
 	}
 	switch e.Outcome {
 	case TimedOut, Reset, Cancelled:
@@ -358,6 +352,10 @@
 	if r.out > 0 {
 		return
 	}
+	if r.pending { // no node will see it
+		r.vol.store, r.vol.stored = h.fill(r.vol)+r.units, h.now
+		r.reached()
+	}
 	delete(h.requests, r.id)
 	r.vol.live--
 	r.vol.last = h.now
@@ -522,7 +520,7 @@
 		at = max(at, r.chain.rest)
 	}
 	if p := r.vol.plan; p.Limit > 0 && !r.charged {
-		room, least := h.sliceMost(r.vol), r.units-p.LimitSlack/r.vol.attached
+		room, least := p.LimitBurst/r.vol.attached, r.units-p.LimitSlack/r.vol.attached
 		if late {
 			least = max(least, room)
 		}
@@ -777,8 +775,11 @@
 	h.hold(r, false)
 	if !r.charged {
 		r.charged = true
-		if r.vol.plan.Limit > 0 {
-			r.vol.store, r.vol.stored = h.fill(r.vol)-r.units, h.now
+		if v := r.vol; v.plan.Limit > 0 {
+			v.store, v.stored = h.fill(v)-r.units, h.now
+			if h.set.DrawnAtNode {
+				r.pending, v.pending = true, v.pending+r.units
+			}
 		}
 	}
 	if r.tries() > 0 && h.set.Rules.BudgetWindow > 0 {
@@ -1047,17 +1048,16 @@
 
 // fill is what the slice's store holds now.
 func (h *Host) fill(v *volume) float64 {
-	return min(v.store+v.plan.Limit/v.attached*seconds(h.now-v.stored), h.sliceMost(v))
+	return min(v.store+v.plan.Limit/v.attached*seconds(h.now-v.stored), v.most())
 }
 
-// sliceMost is what the slice's store holds at most. What a host has drawn reaches its node up to SendLate
-// later, while the limit's own store may be full: the slice leaves out what flows in meanwhile.
-func (h *Host) sliceMost(v *volume) float64 {
-	return max(v.plan.LimitBurst-v.plan.Limit*seconds(h.set.SendLate), 0) / v.attached
-}
+// most is what the slice's store may hold now. Where nodes count, the limit's own store may be full until a
+// request reaches its node: what is charged and not known to be there keeps its place. Without, a request
+// whose connections failed came seconds later, when its slice had filled again and was given out twice.
+func (v *volume) most() float64 { return v.plan.LimitBurst/v.attached - v.pending }
 
 // sliceFull tells whether the limit's store holds all it can; units drawn now would else be lost.
-func (h *Host) sliceFull(v *volume) bool { return h.fill(v) >= h.sliceMost(v) }
+func (h *Host) sliceFull(v *volume) bool { return h.fill(v) >= v.most() }
 
 // coldAllows keeps this host's part of what a cold node always bears, over every overload window.
 func (h *Host) coldAllows(n *node, r *request) bool {
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -50,7 +50,6 @@
 	positive("Rules times", float64(r.AnswerSlack), float64(r.StopSending), float64(r.AskWithin),
 		float64(r.ColdTime), float64(r.OverloadTime), float64(r.OrderPause), float64(r.BudgetWindow))
 	positive("HeldPart", s.HeldPart)
-	positive("SendLate", float64(s.SendLate))
 	positive("UnitMean", s.UnitMean)
 	positive("UnitTop", s.UnitTop)
 	positive("UsePeriod", float64(s.UsePeriod))
--- a/logic/state.go
+++ b/logic/state.go
@@ -71,7 +71,7 @@
 	over     bool
 	stream   bool
 	charged  bool // has drawn on the limit
-	reached  bool // an attempt has reached a node, or may have
+	pending  bool // and no node is known to have seen it
 	after    Micros
 	maybe    bool // an attempt may have run
 	group    *node
@@ -118,8 +118,9 @@
 	last     Micros
 	store    float64 // the host's slice of the limit
 	stored   Micros
-	own      rate // units served through this host
-	others   rate // units told as served through other hosts
+	pending  float64 // units charged that no node is known to have seen
+	own      rate    // units served through this host
+	others   rate    // units told as served through other hosts
 	total    float64
 	totalAt  Micros
 }
@@ -222,6 +223,14 @@
 	r.queued = true
 }
 
+// reached says that a node has seen a request, or may have.
+func (r *request) reached() {
+	if r.pending {
+		r.pending = false
+		r.vol.pending -= r.units
+	}
+}
+
 // inTurn sorts requests by their turn of arrival.
 func inTurn(q []*request) []*request {
 	slices.SortFunc(q, func(a, b *request) int { return cmp.Compare(a.seq, b.seq) })
