--- a/internal/platform/discovery/discovery_test.go
+++ b/internal/platform/discovery/discovery_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,6 +18,9 @@
 	"go.uber.org/zap"
 )
 
+// often is how soon an agent says again that nothing has changed.
+const often = 200 * time.Millisecond
+
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 const sec logic.Micros = 1000 * 1000
@@ -49,26 +53,27 @@
 	}
 	a := &agent{l, make(chan string, 1000)}
 	over := make(chan struct{})
-	t.Cleanup(func() { l.Close(); close(over) })
-	go func() {
+	var wait sync.WaitGroup
+	t.Cleanup(func() { l.Close(); close(over); wait.Wait() })
+	wait.Go(func() {
 		for n := 0; ; n++ {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
 			s := script[min(n, len(script)-1)]
-			go func() {
+			wait.Go(func() {
 				defer c.Close()
-				go func() { <-over; c.Close() }()
+				wait.Go(func() { <-over; c.Close() })
 				r, err := http.ReadRequest(bufio.NewReader(c))
 				if err != nil {
 					return
 				}
 				a.calls <- r.URL.String()
 				s(c, r.URL.String())
-			}()
+			})
 		}
-	}()
+	})
 	return a
 }
 
@@ -99,7 +104,7 @@
 
 // beat keeps a watch alive.
 func beat(c net.Conn, _ string) {
-	for tick := time.NewTicker(2 * time.Second); ; <-tick.C {
+	for tick := time.NewTicker(often); ; <-tick.C {
 		if _, err := io.WriteString(c, chunk("\n")); err != nil {
 			tick.Stop()
 			return
@@ -212,7 +217,6 @@
 	if l, err = net.Listen("tcp", address); err != nil {
 		t.Skip("the address was taken by somebody else")
 	}
-	a := &agent{l, make(chan string, 10)}
 	defer l.Close()
 	go func() {
 		c, err := l.Accept()
@@ -225,7 +229,6 @@
 			answer(list(2, false, entry("s-1", "terminating")))(c, r.URL.String())
 		}
 	}()
-	_ = a
 	b.drained("s-1")
 }
 
@@ -301,7 +304,7 @@
 				select {
 				case text := <-tell:
 					io.WriteString(c, chunk(text+"\n"))
-				case <-time.After(2 * time.Second):
+				case <-time.After(often):
 					if _, err := io.WriteString(c, chunk("\n")); err != nil {
 						return
 					}
