logic: a fleet of up to thirty hosts stays within what a cold node bears, in simulated time

Need: N + 2 x root of N + 2 calls at most at a cold node from all processes, also of twenty or thirty. Checked: twelve seeds of 3 to 27 hosts with uneven traffic and bursts, four nodes that start together and later, which do twice what the settings tell or hang.

--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -564,3 +564,178 @@
 		t.Errorf("%v units in 24 slots: the node starves", total)
 	}
 }
+
+// fleet is many hosts in simulated time, before nodes that serve in turn.
+type fleet struct {
+	set   Settings
+	now   Micros
+	hosts []*Host
+	nodes []*coldNode
+	out   []flying
+	wakes []map[uint32]Micros
+	ids   RequestID
+	power float64 // what nodes can do, as a multiple of the least that the settings tell
+}
+
+// coldNode serves in turn, faster the warmer it is.
+type coldNode struct {
+	Node
+	busy Micros // until then
+	sent []sendSeen
+	most float64 // the most sent within an overload time, as a part of what it bears
+}
+
+type flying struct {
+	host, attempt int
+	id            RequestID
+	node          *coldNode
+	at            Micros // of its answer
+	lost          bool
+}
+
+// bears is what the operators' rule lets all hosts together send a node in an overload time: N and twice its root and
+// two requests, where N is what the settings allow by then.
+func (f *fleet) bears(n *coldNode) float64 {
+	rules := f.set.Rules
+	requests := rules.ColdUnits * (1 + (1/rules.ColdFrom-1)*f.warmth(n)) / f.set.UnitMean
+	return (requests + 2*math.Sqrt(requests) + 2) * f.set.UnitMean
+}
+
+// warmth goes from 0 at a node's start to 1; before it, it was warm.
+func (f *fleet) warmth(n *coldNode) float64 {
+	if f.now < n.Started {
+		return 1
+	}
+	return min(float64(f.now-n.Started)/float64(f.set.Rules.ColdTime), 1)
+}
+
+func (f *fleet) step(i int, events ...Event) {
+	for token, at := range f.wakes[i] {
+		if at <= f.now {
+			events = append(events, TimerFired{token})
+			delete(f.wakes[i], token)
+		}
+	}
+	if len(events) == 0 {
+		return
+	}
+	for _, a := range f.hosts[i].Step(f.now, events, nil) {
+		switch a := a.(type) {
+		case Wake:
+			f.wakes[i][a.Token] = f.now + a.After
+		case Send:
+			f.send(i, a)
+		}
+	}
+}
+
+func (f *fleet) send(i int, a Send) {
+	r := f.hosts[i].requests[a.Request]
+	n := f.nodes[a.Node-1]
+	rules := f.set.Rules
+	n.sent = append(n.sent, sendSeen{f.now, r.units})
+	for n.sent[0].at < f.now-rules.OverloadTime || n.sent[0].at < n.Started && f.now >= n.Started {
+		n.sent = n.sent[1:]
+	}
+	if f.now >= n.Started && f.now < n.Started+rules.ColdTime {
+		sum := 0.0
+		for _, s := range n.sent {
+			sum += s.units
+		}
+		n.most = max(n.most, sum/f.bears(n))
+	}
+	rate := f.power * rules.ColdUnits / rules.TipMultiple * (1 + (1/rules.ColdFrom-1)*f.warmth(n)) / float64(rules.OverloadTime)
+	n.busy = max(n.busy, f.now) + Micros(r.units/rate)
+	f.out = append(f.out, flying{i, len(r.attempts) - 1, r.id, n, n.busy, false})
+}
+
+// A fleet of twenty to thirty processes, or of few, with uneven traffic and a burst, before several nodes that start
+// together and later: all of them together stay within what the operators let a cold node bear, and still use some of it.
+func TestColdRampOverTheFleet(t *testing.T) {
+	for seed := range uint64(12) {
+		rng := rand.New(rand.NewPCG(seed, 11))
+		hosts := 20 + rng.IntN(11)
+		if seed >= 8 {
+			hosts = 3 + rng.IntN(6)
+		}
+		// Nodes do twice what the settings tell, as what is near by costs less, or hang, so that nothing answered
+		// holds anybody back.
+		f := &fleet{now: 1000 * sec, set: plain(), power: []float64{2, 0.02}[seed/4%2]}
+		f.set.Hosts, f.set.Tick, f.set.MaxAttempts, f.set.UnitMean, f.set.UnitTop = hosts, 2*ms, 4, 2, 6
+		f.set.Rules.ColdFrom, f.set.Rules.ColdTime, f.set.Rules.OverloadTime, f.set.Rules.TipMultiple = 0.2, 8*sec, sec, 4
+		f.set.Rules.ColdUnits = []float64{9, 20, 60, 200}[seed%4]
+		began := f.now
+		for i := range 4 {
+			f.nodes = append(f.nodes, &coldNode{Node: Node{ID: NodeID(i + 1), Cell: i, State: Ready, Started: began + Micros(i/2)*4*sec}})
+		}
+		total := 0.0
+		weight := make([]float64, hosts)
+		for i := range weight {
+			weight[i] = 1 / float64(1+i)
+			total += weight[i]
+			set := f.set
+			set.Number = i
+			h, err := New(set, seed*100+uint64(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			f.hosts = append(f.hosts, h)
+			f.wakes = append(f.wakes, map[uint32]Micros{})
+			list := NodeList{Kind: ListCached}
+			for _, n := range f.nodes {
+				x := n.Node
+				if x.Started > f.now {
+					x.Started = 0 // as it was before
+				}
+				list.Nodes = append(list.Nodes, x)
+			}
+			f.step(i, list)
+		}
+		// Two of three nodes' full power is asked for, twice that in a burst.
+		full := f.set.Rules.ColdUnits / f.set.Rules.ColdFrom / f.set.Rules.TipMultiple * 2 * 4 // units a second
+		served := 0
+		for f.now < began+14*sec {
+			f.now += 2 * ms
+			keep := f.out[:0]
+			ended := map[int][]Event{}
+			for _, x := range f.out {
+				if x.at > f.now {
+					keep = append(keep, x)
+					continue
+				}
+				served++
+				ended[x.host] = append(ended[x.host], end(x.id, x.attempt, x.node.ID, OK))
+			}
+			f.out = keep
+			load := 0.67
+			if f.now < began+sec || f.now > began+5*sec && f.now < began+7*sec {
+				load = 3
+			}
+			for i := range hosts {
+				events := ended[i]
+				for _, n := range f.nodes {
+					if n.Started > began && f.now >= n.Started && f.now < n.Started+2*ms {
+						events = append(events, NodeList{Kind: ListDelta, Nodes: []Node{n.Node}})
+					}
+				}
+				if rng.Float64() < load*full/f.set.UnitMean*0.002*weight[i]/total {
+					f.ids++
+					events = append(events, Arrival{Request: f.ids, Class: 0, Cell: rng.IntN(4), Volume: VolumeID(rng.IntN(40)), Plan: rng.IntN(2),
+						Attached: 3, Units: float64(1 + rng.IntN(3)), DropDead: f.now + 4*sec})
+				}
+				f.step(i, events...)
+			}
+		}
+		most := 0.0
+		for _, n := range f.nodes {
+			most = max(most, n.most)
+		}
+		t.Logf("seed %d: %d hosts, %v units: at most %.2f of what a node bears, %d served", seed, hosts, f.set.Rules.ColdUnits, most, served)
+		if most > 1 {
+			t.Errorf("seed %d: all together send %.2f of what a cold node bears", seed, most)
+		}
+		if most < 0.1 || served == 0 {
+			t.Errorf("seed %d: %.2f of what a cold node bears is used", seed, most)
+		}
+	}
+}
