--- a/internal/platform/front/front_test.go
+++ b/internal/platform/front/front_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -50,6 +51,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return newBedOn(t, l)
+}
+
+func newBedOn(t *testing.T, l net.Listener) *bed {
 	h := &hand{took: make(chan *core.Request, 100), gone: make(chan *core.Request, 100), end: make(chan logic.Micros, 1)}
 	h.pass(1000 * sec)
 	s := &Service{Classes: map[string]int{"look": 0, "save": 1}, Plans: map[string]int{"gold": 0, "thin": 1},
@@ -537,3 +542,36 @@
 		}
 	})
 }
+
+// short is a listener that has no descriptors left for a while.
+type short struct {
+	net.Listener
+	left  atomic.Int64
+	asked atomic.Int64
+}
+
+func (l *short) Accept() (net.Conn, error) {
+	l.asked.Add(1)
+	if l.left.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// Out of descriptors, it goes on asking, with pauses, and serves who comes next.
+func TestAcceptFails(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &short{Listener: l}
+	s.left.Store(5)
+	b := newBedOn(t, s)
+	u := b.dial()
+	u.send(ask("1", "x"))
+	b.serve(b.taken(), "yes")
+	u.answer(200)
+	if n := s.asked.Load(); n < 6 || n > 8 {
+		t.Fatalf("asked %d times for two connections and five failures", n)
+	}
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -16,12 +16,15 @@
 
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // run starts the initiator of the file at hand.
 func (s *stand) run() {
 	env := func(k string) string { return map[string]string{"ROUTER_CONFIG": s.path}[k] }
-	in, err := New(env, nil, zap.NewNop())
+	core, logs := observer.New(zap.InfoLevel)
+	s.logs = logs
+	in, err := New(env, nil, zap.New(core))
 	if err != nil {
 		s.Fatal(err)
 	}
@@ -38,6 +41,18 @@
 		in.back.Close()
 		in.shell.Close()
 		<-done
+		// All is back where it began.
+		for end := time.Now().Add(15 * time.Second); ; time.Sleep(time.Millisecond) {
+			ta, _ := in.shell.Tally()
+			open, _ := in.back.Open()
+			if ta.Held == 0 && ta.Entries == 0 && ta.Out == 0 && open == 0 && in.front.Connections() == 0 {
+				break
+			}
+			if time.Now().After(end) {
+				s.Errorf("held after the end: %+v, %d connections to targets, %d of clients", ta, open, in.front.Connections())
+				break
+			}
+		}
 	})
 }
 
--- a/internal/platform/standin_test.go
+++ b/internal/platform/standin_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"appleplank/internal/http1"
+
+	"go.uber.org/zap/zaptest/observer"
 )
 
 // The stand-ins of this file are written from the platform's protocol: targets, a discovery agent, clients.
@@ -114,7 +116,11 @@
 }
 
 func newDiscovery(t testing.TB, whole string) *standDiscovery {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return newDiscoveryAt(t, "127.0.0.1:0", whole)
+}
+
+func newDiscoveryAt(t testing.TB, address, whole string) *standDiscovery {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -206,6 +212,7 @@
 	ctl    chan os.Signal
 	end    func()
 	ended  chan error
+	logs   *observer.ObservedLogs
 }
 
 func (s *stand) write(discovery string) {
