--- a/spares/spares.go
+++ b/spares/spares.go
@@ -16,8 +16,9 @@
 	// idlePart of it. Harm: a target asked so seldom costs a new connection.
 	idlePart = 0.75
 	// settle is how long a connection rests after an answer before it takes the next request: what a target sends
-	// beyond its answer comes right behind it. Harm: a new connection for who asks again sooner.
-	settle = 2 * ms
+	// beyond its answer comes right behind it, a second answer some milliseconds later, as the operators say. Nothing
+	// tells it from the answer to a request that was written meanwhile. Harm: a new connection for who asks again sooner.
+	settle = 20 * ms
 
 	// Some targets, or what stands before them, drop connections long before the settings' time and say so only to
 	// the next request. What became of requests on kept connections is remembered by how long those had been idle;
