logic: an attempt that was reset or timed out may not have reached its node: it keeps its place in the slice

Cause: the end of any attempt but ConnectFailed and Moot let go of what was charged (ended), so a request that was reset before its last byte came to its node, and left again later, drew when its slice had refilled. Change: only an answer says that a node has seen a request; with a reset or time-out its place is kept until it is over, and what it may have drawn is not given back.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -270,9 +270,10 @@
 	h.learn(r, a, e)
 	ran := e.Outcome == Failed
 	switch e.Outcome {
-	case ConnectFailed, Moot:
-	default:
+	case OK, Failed, Full:
 		r.reached()
+	case TimedOut, Reset, Cancelled:
+		r.unsure = true
 	}
 	switch e.Outcome {
 	case TimedOut, Reset, Cancelled:
@@ -352,10 +353,10 @@
 	if r.out > 0 {
 		return
 	}
-	if r.pending { // no node will see it
+	if r.pending && !r.unsure { // no node will see it
 		r.vol.store, r.vol.stored = h.fill(r.vol)+r.units, h.now
-		r.reached()
 	}
+	r.reached()
 	delete(h.requests, r.id)
 	r.vol.live--
 	r.vol.last = h.now
--- a/logic/state.go
+++ b/logic/state.go
@@ -72,6 +72,7 @@
 	stream   bool
 	charged  bool // has drawn on the limit
 	pending  bool // and no node is known to have seen it
+	unsure   bool // one may have
 	after    Micros
 	maybe    bool // an attempt may have run
 	group    *node
@@ -223,7 +224,7 @@
 	r.queued = true
 }
 
-// reached says that a node has seen a request, or may have.
+// reached says that a node has seen a request, or that none will any more.
 func (r *request) reached() {
 	if r.pending {
 		r.pending = false
