--- a/internal/platform/target/target_test.go
+++ b/internal/platform/target/target_test.go
@@ -237,15 +237,15 @@
 	}
 }
 
-// rested gives a connection that has had an answer and waits for its next request.
-func (d *bed) rested() *net.TCPConn {
+// rested gives a connection that has had an answer and waits for its next request for so long.
+func (d *bed) rested(pause logic.Micros) *net.TCPConn {
 	d.Helper()
 	a := d.start(0)
 	c := d.conn()
 	d.read(c)
 	io.WriteString(c, served("first"))
 	d.outcome(a, logic.OK)
-	d.clock.Add(50_000) // settled
+	d.clock.Add(int64(pause))
 	return c
 }
 
@@ -256,7 +256,7 @@
 		t.Run(name, func(t *testing.T) {
 			for range 30 {
 				d := newBed(t, false)
-				c := d.rested()
+				c := d.rested(50_000)
 				if bytes == "" {
 					c.CloseWrite()
 				} else {
@@ -277,12 +277,7 @@
 // A second answer that comes some milliseconds after the first: its connection has not been used again by then.
 func TestLateSecondAnswer(t *testing.T) {
 	d := newBed(t, false)
-	first := d.start(0)
-	c := d.conn()
-	d.read(c)
-	io.WriteString(c, served("first"))
-	d.outcome(first, logic.OK)
-	d.clock.Add(15_000)
+	c := d.rested(15_000)
 	second := d.start(0)
 	io.WriteString(c, served("first")) // once more
 	other := d.conn()
