logic: only where calls are counted may a cold node take no more than it has served

Change: the tighter bound holds where Settings.ColdByCount says so, which the platform's initiator does, as its operators count calls; its code path is the one that the standing test played.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -62,7 +62,7 @@
 	}
 	b := bounds.For(cfg.Limits.Cores, cfg.Limits.MemoryMB, cfg.Limits.Sockets)
 	s := cfg.Settings
-	cfg.Logic.HeldPart, cfg.Logic.DrawnAtNode = heldPart, true
+	cfg.Logic.HeldPart, cfg.Logic.DrawnAtNode, cfg.Logic.ColdByCount = heldPart, true, true
 	c, err := core.New(cfg.Logic, cfg.Seed)
 	if err != nil {
 		return nil, err
--- a/logic/api.go
+++ b/logic/api.go
@@ -91,6 +91,7 @@
 	MaxAttempts    int     // attempts allowed for one request; 0: no bound
 	SecondCopies   bool    // two attempts of a request may be out at once
 	DrawnAtNode    bool    // a request draws on its limit when it reaches a node, not with its Send
+	ColdByCount    bool    // what a cold node bears is counted in calls, whatever it can do with them
 	MayCancel      bool
 	MayProbe       bool
 	CoolDowns      bool    // clients are told when to come back
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1066,10 +1066,14 @@
 	began := h.now - rules.OverloadTime
 	sent, served := n.sent.since(began), n.served.since(began)
 	part, _, _ := h.coldPart(n, h.now)
-	// Exception: what the node has just served for each host it can do for all of them at once, so as much
-	// may go by that, less under a multiple of four. With twice as much a host doubled its sends in each
-	// answer's time while a run of cheap requests lasted, and the next dear ones pushed the node over.
-	return sent+r.units <= max(part, min(rules.TipMultiple/4, 1)*served)
+	// Exception: what the node has just served for each host it can do for all of them at once, so half
+	// of the multiple that pushes it over may go by that. Where calls are counted, as much as was served: with
+	// twice that a host doubled its sends in each answer's time while a run of cheap requests lasted.
+	grow := rules.TipMultiple / 2
+	if h.set.ColdByCount {
+		grow = min(grow/2, 1)
+	}
+	return sent+r.units <= max(part, grow*served)
 }
 
 // coldPart is what this host may send a node within an overload time that ends at the given time, without
