--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1067,8 +1067,8 @@
 	sent, served := n.sent.since(began), n.served.since(began)
 	part, _, _ := h.coldPart(n, h.now)
 	// Exception: what the node has just served for each host it can do for all of them at once, so half
-	// of the multiple that pushes it over may go by that. Where calls are counted, as much as was served: with
-	// twice that a host doubled its sends in each answer's time while a run of cheap requests lasted.
+	// of the multiple that pushes it over may go by that. Where calls are counted, as much as was served:
+	// with twice that a host doubled its sends in each answer's time while a run of cheap requests lasted.
 	grow := rules.TipMultiple / 2
 	if h.set.ColdByCount {
 		grow = min(grow/2, 1)
