--- a/internal/platform/config/config.go
+++ b/internal/platform/config/config.go
@@ -3,7 +3,6 @@
 package config
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -31,7 +30,6 @@
 	Limits                  Limits
 	Known                   members.News // targets as this initiator last held them
 	Settings                *wire.Settings
-	Text                    []byte // the settings as they stand in the file, without what does not count
 	Logic                   logic.Settings
 }
 
@@ -112,11 +110,6 @@
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	c.Settings, c.Logic = s, s.Logic()
-	var compact bytes.Buffer
-	if err := json.Compact(&compact, f.Settings); err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
-	}
-	c.Text = compact.Bytes()
 	// The watch is kept whatever the module asks for, so it hears of changes by themselves.
 	c.Logic.Subscribe = false
 	if _, err := logic.New(c.Logic, c.Seed); err != nil {
--- a/internal/platform/discovery/discovery.go
+++ b/internal/platform/discovery/discovery.go
@@ -44,7 +44,6 @@
 	once   sync.Once
 	cancel context.CancelFunc // of the watch in use
 	uses   int                // calls of Use so far
-	told   int                // the one that has told something last: what earlier ones tell does not count any more
 	wait   sync.WaitGroup
 	stop   context.Context
 	end    context.CancelFunc
@@ -215,17 +214,14 @@
 	news, err := config.News(list, w.zones)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	// A watch that was followed by another does not undo what that one has told: its list may be older.
-	if use < w.told {
+	if !w.follow.Counts(use) {
 		return errMoved
 	}
-	if err == nil {
-		w.told = use
-	}
 	if err != nil {
 		w.follow.Unread()
 		return fmt.Errorf("a list that cannot be read: %w", err)
 	}
+	w.follow.From(use)
 	changed, again, complaint := w.follow.Told(w.sink.Now(), news, first)
 	if complaint != nil {
 		w.log.Warn("discovery", zap.Error(complaint))
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -163,7 +163,7 @@
 	left := f.seats.Taken()
 	f.mu.Unlock()
 	if left > 0 {
-		time.Sleep(lastLook)
+		time.Sleep(time.Duration(leave.LastLook) * time.Microsecond)
 	}
 	f.listener.Close()
 	f.mu.Lock()
@@ -176,9 +176,6 @@
 	f.wait.Wait()
 }
 
-// lastLook is how long clients have at the end.
-const lastLook = 40 * time.Millisecond
-
 func (f *Front) sweep() {
 	f.mu.Lock()
 	if f.last {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -3,10 +3,10 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"os"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -159,7 +159,7 @@
 		return nil
 	}
 	in.log.Info("a new configuration", zap.String("discovery", cfg.Discovery))
-	if cfg.Limits != in.cfg.Limits || !bytes.Equal(cfg.Text, in.cfg.Text) {
+	if cfg.Limits != in.cfg.Limits || !reflect.DeepEqual(cfg.Settings, in.cfg.Settings) {
 		// Requests that are held were taken by the old ones, and none may be judged partly by each.
 		in.log.Warn("its limits or settings differ from those in use, which hold until the next start")
 	}
--- a/leave/leave.go
+++ b/leave/leave.go
@@ -19,6 +19,9 @@
 	leastRoom = 60 * ms
 	// Connections may still come for coming: whoever has no client any more does not end before.
 	coming = 600 * ms
+	// LastLook is how long clients then have to read what was answered last, and to be told that what crossed the end
+	// of their connection was not taken. It fits into what margin leaves: a test adds them up.
+	LastLook = 40 * ms
 )
 
 // Leave is the state of an end; the zero value of begun says that none was told.
--- a/leave/leave_test.go
+++ b/leave/leave_test.go
@@ -42,3 +42,15 @@
 		t.Fatal("longer deadlines do not put the kill off:", p)
 	}
 }
+
+// The latest end and the last look at clients are over before the kill.
+func TestLastLookFits(t *testing.T) {
+	l := New(3 * sec)
+	l.Told(0)
+	end := logic.Micros(0)
+	for end = l.Till() - ms; !l.Over(end, 1, 1); end += ms {
+	}
+	if end+LastLook >= 3*sec+graceTime {
+		t.Fatalf("over at %d us, killed at %d", end+LastLook, 3*sec+graceTime)
+	}
+}
--- a/members/follow.go
+++ b/members/follow.go
@@ -49,6 +49,7 @@
 	revision uint64
 	whole    bool // something is missing: the whole list must be asked for
 	fails    int
+	told     int // the address, counted in the order of their use, that has told something last
 }
 
 type followed struct {
@@ -86,6 +87,13 @@
 	return pause
 }
 
+// Counts tells whether what is told at the use-th address counts: a watch that was followed by another does not undo
+// what that one has told, as its list may be older. Harm: none is asked of the old address any more once the new one tells.
+func (f *Follow) Counts(use int) bool { return use >= f.told }
+
+// From notes that the use-th address has told something that can be read.
+func (f *Follow) From(use int) { f.told = max(f.told, use) }
+
 // Unread says that something could not be read: what it would have told is missing.
 func (f *Follow) Unread() { f.whole = true }
 
--- a/members/follow_test.go
+++ b/members/follow_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// Of the addresses of discovery the newest that has told something counts, and those after it.
+func TestLateListOfAnOldAddress(t *testing.T) {
+	f, _ := NewFollow(0, News{})
+	if f.From(1); !f.Counts(1) || !f.Counts(2) {
+		t.Fatal("the old address counts until the new one has told something")
+	}
+	f.From(3)
+	f.From(2)
+	if f.Counts(1) || f.Counts(2) || !f.Counts(3) {
+		t.Fatal("an old address undoes what a newer one has told")
+	}
+}
+
 func TestSilenceAndPauses(t *testing.T) {
 	f, _ := NewFollow(0, News{})
 	if at := SilentAt(19*sec, 0); at != 19*sec+answerBy {
