Trace: hosts of a request, state of its volume's limit at each send, why it was refused

Need: the report of a broken limit names requests, volume and initiator, but not what the initiator took the volume's slice for when it sent. Turned on by APPLEPLANK_TRACE as well, where the command line is the platform's. No decision changes.

--- a/cmd/appleplank/initiator.go
+++ b/cmd/appleplank/initiator.go
@@ -13,6 +13,9 @@
 	"go.uber.org/zap"
 )
 
+// traceVariable turns the trace on where the command line is not ours to change, by any value.
+const traceVariable = "APPLEPLANK_TRACE"
+
 func initiatorCommand(logger func() (*zap.Logger, error)) *cobra.Command {
 	traced := false
 	c := &cobra.Command{
@@ -44,7 +47,7 @@
 			return in.Run(first, reload)
 		},
 	}
-	c.Flags().BoolVar(&traced, "trace", false, "write what is believed of each attempt, and what passed on its socket, to standard error")
+	c.Flags().BoolVar(&traced, "trace", os.Getenv(traceVariable) != "", "write what is believed of each attempt, and what passed on its socket, to standard error")
 	return c
 }
 
--- a/internal/platform/core/core.go
+++ b/internal/platform/core/core.go
@@ -100,7 +100,7 @@
 	c.tally.Taken++
 	c.tally.Held++
 	if c.trace != nil {
-		c.note(now, "taken", e.id, 0, 0, fmt.Sprintf("%s:%x:%g", r.ID, r.Volume, r.Units), r.Left, logic.NoLoad)
+		c.note(now, "taken", e.id, 0, 0, fmt.Sprintf("%s:%x:%g:%g", r.ID, r.Volume, r.Units, r.Attached), r.Left, logic.NoLoad)
 	}
 	c.host.Tell(logic.Arrival{
 		Request: e.id, Class: r.Class, Cell: r.Cell, Key: r.Block, Volume: r.Volume, Plan: r.Plan,
@@ -182,13 +182,30 @@
 
 func (c *Core) finish(now logic.Micros, e *entry, a Answer) {
 	c.tally.Answers[a.Verdict]++
-	c.note(now, "answer", e.id, 0, 0, verdicts[a.Verdict], 0, logic.NoLoad)
+	c.note(now, "answer", e.id, 0, 0, reason(a), 0, logic.NoLoad)
 	c.out = append(c.out, action{kind: answer, request: e.r, answer: a})
 	c.over(e)
 }
 
 var verdicts = [...]string{Served: "served", Refused: "refused", Failed: "failed"}
 
+// reason is an answer's verdict as it stands in a trace, and why a request was refused where that is known.
+func reason(a Answer) string {
+	if a.Limited {
+		return verdicts[a.Verdict] + ":limit"
+	}
+	return verdicts[a.Verdict]
+}
+
+// slice is what is left of a volume's limit as it stands in a trace.
+func (c *Core) slice(volume logic.VolumeID) string {
+	s, limited := c.host.Slice(volume)
+	if !limited {
+		return "-"
+	}
+	return fmt.Sprintf("limit:%g:%.3f:%.3f", s.Hosts, s.Store, s.Pending)
+}
+
 // note writes down what the core believes.
 func (c *Core) note(now logic.Micros, what string, id logic.RequestID, number int, node logic.NodeID, outcome string, took logic.Micros, load logic.Load) {
 	if c.trace != nil {
@@ -269,7 +286,9 @@
 	e.out = append(e.out, a)
 	c.tally.Sends++
 	c.tally.Out++
-	c.note(now, "send", e.id, a.Number, a.Node, "-", 0, logic.NoLoad)
+	if c.trace != nil {
+		c.note(now, "send", e.id, a.Number, a.Node, c.slice(e.volume), 0, logic.NoLoad)
+	}
 	c.host.Sent(&a.Attempt)
 	c.out = append(c.out, action{kind: start, attempt: a, request: e.r})
 }
