--- a/internal/platform/standin_test.go
+++ b/internal/platform/standin_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -211,11 +212,13 @@
 	end    func()
 	ended  chan error
 	logs   *observer.ObservedLogs
+
+	settings string // empty: settingsJSON
 }
 
 func (s *stand) write(discovery string) {
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":64,"sockets":128},
-"known":{"revision":0,"complete":true,"members":[%s]},"settings":%s}`, s.listen, discovery, strings.Join(s.known, ","), settingsJSON)
+"known":{"revision":0,"complete":true,"members":[%s]},"settings":%s}`, s.listen, discovery, strings.Join(s.known, ","), cmp.Or(s.settings, settingsJSON))
 	if !json.Valid([]byte(text)) {
 		s.Fatal("the test's own configuration is none")
 	}
--- /dev/null
+++ b/logic/limit_test.go
@@ -0,0 +1,37 @@
+package logic
+
+import "testing"
+
+// The slice of a limit must not refill, for the time a request was on its way, once that request has arrived.
+func TestLateArrivalRefillsNoSlice(t *testing.T) {
+	for name, onItsWay := range map[string]Micros{"for a moment": 300 * ms, "for long": 2 * sec} {
+		t.Run(name, func(t *testing.T) {
+			s := plain()
+			s.DrawnAtNode = true
+			s.Classes[0].Aim, s.Classes[0].Deadline = 20*sec, 20*sec
+			plan := s.Plans[2]
+			b := newBench(t, s, 20)
+			b.wait(10 * sec) // the slice is full, and the limit's own store
+			late := b.ask(0, 2, units(6), cell(0), attached(1))
+			late.DropDead += 10 * sec
+			if len(sends(b.step(late))) != 1 {
+				t.Fatal("not sent")
+			}
+			b.wait(onItsWay)
+			store := plan.LimitBurst - 6 // its node sees it now, and answers at once
+			b.step(end(late.Request, 0, 1, OK))
+			for i := 1; i < 20; i++ {
+				for _, id := range sends(b.step(b.ask(0, 2, units(2), cell(i), attached(1), key(0)))) {
+					store -= 2
+					b.step(end(id, 0, NodeID(i+1), OK))
+				}
+			}
+			if store < -plan.LimitSlack {
+				t.Errorf("the limit's store is at %v, its slack is %v", store, plan.LimitSlack)
+			}
+			if store > 2 {
+				t.Errorf("%v units of the limit were left unused", store)
+			}
+		})
+	}
+}
