--- a/logic/logic.go
+++ b/logic/logic.go
@@ -271,12 +271,9 @@
 	ran := e.Outcome == Failed
 	switch e.Outcome {
 	case OK, Failed, Full:
-		r.reached()
+		h.release(r)
 	case TimedOut, Reset, Cancelled:
 		r.unsure = true
-	}
-	switch e.Outcome {
-	case TimedOut, Reset, Cancelled:
 		ran = true
 		if r.chain != nil {
 			r.chain.rest = max(r.chain.rest, h.now+h.set.Rules.OrderPause)
@@ -353,10 +350,7 @@
 	if r.out > 0 {
 		return
 	}
-	if r.pending && !r.unsure { // no node will see it
-		r.vol.store, r.vol.stored = h.fill(r.vol)+r.units, h.now
-	}
-	r.reached()
+	h.discharge(r)
 	delete(h.requests, r.id)
 	r.vol.live--
 	r.vol.last = h.now
@@ -594,13 +588,6 @@
 	return at - h.now + Micros(h.unit*units)
 }
 
-// Limited tells whether it is the volume's slice of its limit that stands in the way of so many units now,
-// for callers that tell their clients why.
-func (h *Host) Limited(id VolumeID, units float64) bool {
-	v := h.volumes[id]
-	return v != nil && v.plan.Limit > 0 && h.fill(v)-units < -v.plan.LimitSlack/v.attached
-}
-
 // Down tells that no node of a cell takes connections for now, so that what may go elsewhere need not wait
 // for the next try.
 func (h *Host) Down(cell int) bool {
@@ -774,15 +761,7 @@
 func (h *Host) send(r *request, n *node) {
 	h.dequeue(r)
 	h.hold(r, false)
-	if !r.charged {
-		r.charged = true
-		if v := r.vol; v.plan.Limit > 0 {
-			v.store, v.stored = h.fill(v)-r.units, h.now
-			if h.set.DrawnAtNode {
-				r.pending, v.pending = true, v.pending+r.units
-			}
-		}
-	}
+	h.charge(r)
 	if r.tries() > 0 && h.set.Rules.BudgetWindow > 0 {
 		h.extra = append(h.extra, h.now)
 	}
@@ -1042,24 +1021,6 @@
 
 // ---- guards of the rules ----
 
-// limitAllows holds the host's even slice of the plan's limit: rate, burst and slack alike.
-func (h *Host) limitAllows(r *request) bool {
-	return r.vol.plan.Limit <= 0 || h.fill(r.vol)-r.units >= -r.vol.plan.LimitSlack/r.vol.attached
-}
-
-// fill is what the slice's store holds now.
-func (h *Host) fill(v *volume) float64 {
-	return min(v.store+v.plan.Limit/v.attached*seconds(h.now-v.stored), v.most())
-}
-
-// most is what the slice's store may hold now. Where nodes count, the limit's own store may be full until a
-// request reaches its node: what is charged and not known to be there keeps its place. Without, a request
-// whose connections failed came seconds later, when its slice had filled again and was given out twice.
-func (v *volume) most() float64 { return v.plan.LimitBurst/v.attached - v.pending }
-
-// sliceFull tells whether the limit's store holds all it can; units drawn now would else be lost.
-func (h *Host) sliceFull(v *volume) bool { return h.fill(v) >= v.most() }
-
 // coldAllows keeps this host's part of what a cold node always bears, over every overload window.
 func (h *Host) coldAllows(n *node, r *request) bool {
 	rules := &h.set.Rules
--- a/logic/state.go
+++ b/logic/state.go
@@ -224,14 +224,6 @@
 	r.queued = true
 }
 
-// reached says that a node has seen a request, or that none will any more.
-func (r *request) reached() {
-	if r.pending {
-		r.pending = false
-		r.vol.pending -= r.units
-	}
-}
-
 // inTurn sorts requests by their turn of arrival.
 func inTurn(q []*request) []*request {
 	slices.SortFunc(q, func(a, b *request) int { return cmp.Compare(a.seq, b.seq) })
