logic: an answer other than served leaves a request's units on their way

What callers would see: the limit of a volume passed by the units of a request, where a target turned it away or failed it before its last byte had left (a long request, a full table of connections), and the next attempt came later.

Cause: Host.ended took Failed and Full for arrivals and released the units. The adapter says both also for a request that was not written whole (target.result, and a spoilt answer in target.broke), which takes nothing from the limit's store: it stays full, and the next attempt takes the units a second time after the slice has refilled. Now only an answer that served it, which the adapter gives only where all was written, releases them.

--- a/logic/limit_fleet_test.go
+++ b/logic/limit_fleet_test.go
@@ -185,13 +185,15 @@
 		ends(way, Moot)
 	case x < 0.2: // reset on its way
 		ends(way, Reset)
-	case x < 0.25: // reset, and the node has it all the same
+	case x < 0.22: // answered before its last byte has left
+		ends(way, []Outcome{Full, Failed}[f.rng.IntN(2)])
+	case x < 0.27: // reset, and the node has it all the same
 		ends(way/2, Reset)
 		arrives(way)
-	case x < 0.35:
+	case x < 0.37:
 		arrives(way)
 		ends(way+work, []Outcome{Full, Failed, Reset}[f.rng.IntN(3)])
-	case x < 0.4: // nothing is heard of it
+	case x < 0.42: // nothing is heard of it
 		arrives(way)
 		ends(left, TimedOut)
 	default:
--- a/logic/limit_test.go
+++ b/logic/limit_test.go
@@ -18,20 +18,48 @@
 				t.Fatal("not sent")
 			}
 			b.wait(onItsWay)
-			store := plan.LimitBurst - 6 // its node sees it now, and answers at once
-			b.step(end(late.Request, 0, 1, OK))
-			for i := 1; i < 20; i++ {
-				for _, id := range sends(b.step(b.ask(0, 2, units(2), cell(i), attached(1), key(0)))) {
-					store -= 2
-					b.step(end(id, 0, NodeID(i+1), OK))
-				}
-			}
-			if store < -plan.LimitSlack {
-				t.Errorf("the limit's store is at %v, its slack is %v", store, plan.LimitSlack)
-			}
-			if store > 2 {
-				t.Errorf("%v units of the limit were left unused", store)
+			b.step(end(late.Request, 0, 1, OK)) // its node has just seen it
+			b.spend(plan.LimitBurst - 6)
+		})
+	}
+}
+
+// An answer to a request that has not left whole says nothing of its arrival: its units stay on their way.
+func TestEarlyAnswerRefillsNoSlice(t *testing.T) {
+	for name, early := range map[string]Outcome{"turned away": Full, "failed": Failed} {
+		t.Run(name, func(t *testing.T) {
+			s := plain()
+			s.DrawnAtNode = true
+			s.Classes[0].Aim, s.Classes[0].Deadline = 20*sec, 20*sec
+			b := newBench(t, s, 20)
+			b.wait(10 * sec)
+			late := b.ask(0, 2, units(6), cell(0), attached(1))
+			b.step(late)
+			again := b.step(end(late.Request, 0, 1, early))
+			for len(sends(again)) == 0 {
+				again = b.after(10*ms, TimerFired{b.h.token})
 			}
+			b.wait(sec)
+			b.step(end(late.Request, 1, 1, OK)) // its node has just seen it
+			b.spend(s.Plans[2].LimitBurst - 6)
 		})
 	}
 }
+
+// spend asks for units of plan 2 until no more are sent, and wants the limit's store, which is at the given level, used
+// and not passed.
+func (b *bench) spend(store float64) {
+	b.t.Helper()
+	for i := 1; i < 20; i++ {
+		for _, id := range sends(b.step(b.ask(0, 2, units(2), cell(i), attached(1), key(0)))) {
+			store -= 2
+			b.step(end(id, 0, NodeID(i+1), OK))
+		}
+	}
+	if slack := b.h.set.Plans[2].LimitSlack; store < -slack {
+		b.t.Errorf("the limit's store is at %v, its slack is %v", store, slack)
+	}
+	if store > 2 {
+		b.t.Errorf("%v units of the limit were left unused", store)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -270,8 +270,10 @@
 	h.learn(r, a, e)
 	ran := e.Outcome == Failed
 	switch e.Outcome {
-	case OK, Failed, Full:
+	case OK:
 		h.release(r)
+	case Failed, Full: // it may have been answered before its last byte had left
+		r.unsure = true
 	case TimedOut, Reset, Cancelled:
 		r.unsure = true
 		ran = true
