target: an attempt that is given up leaves nothing in the system's buffers for its target

What callers would see: a request that was answered as refused or failed reaches a target later all the same, whole, when a target that hung reads on: work for nobody, units of a limit taken after its slice has refilled, perhaps a second run.

Cause: an attempt counts as written once the system has taken its bytes. Given up, the connection was shut down and closed, after which the system goes on sending what it holds for as long as the peer takes it (sock.Conn.Shut). Now attempts that are given up reset their connection (sock.Conn.Abort, SO_LINGER 0): unsent bytes are dropped.

--- a/internal/platform/target/target.go
+++ b/internal/platform/target/target.go
@@ -205,7 +205,7 @@
 	}
 	l.dropped, l.recall = true, l.recall || part
 	if l.conn != nil {
-		l.conn.Shut() // its reader brings the end
+		l.conn.Abort() // its reader brings the end
 	}
 	l.cancel()
 }
@@ -284,7 +284,7 @@
 		if l.state == idle || l.state == told {
 			b.end(l)
 		} else if l.dropped = true; l.conn != nil {
-			l.conn.Shut()
+			l.conn.Abort()
 		}
 		l.cancel()
 	}
@@ -360,7 +360,7 @@
 	case <-rested:
 		return false
 	default:
-		l.conn.Shut()
+		l.conn.Abort()
 		<-rested
 		return true
 	}
--- a/internal/platform/target/target_test.go
+++ b/internal/platform/target/target_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,9 +52,14 @@
 }
 
 func newBed(t *testing.T, late bool) *bed {
+	t.Helper()
+	return newBedAt(t, late, net.ListenConfig{})
+}
+
+func newBedAt(t *testing.T, late bool, listen net.ListenConfig) *bed {
 	t.Helper()
 	before := goleak.IgnoreCurrent()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -93,9 +99,11 @@
 	return d
 }
 
-func (d *bed) start(by logic.Micros) *core.Attempt {
+func (d *bed) start(by logic.Micros) *core.Attempt { return d.startBody(by, "data") }
+
+func (d *bed) startBody(by logic.Micros, body string) *core.Attempt {
 	a := &core.Attempt{Attempt: drive.Attempt{Node: 1, Sent: d.Now(), StopAt: d.Now() + 2*sec}, By: by}
-	r := &core.Request{Method: []byte("PUT"), Target: []byte("/save/7f3a9c21e0b4d655"), ID: []byte("id-1"), Once: []byte("k-1"), Body: []byte("data")}
+	r := &core.Request{Method: []byte("PUT"), Target: []byte("/save/7f3a9c21e0b4d655"), ID: []byte("id-1"), Once: []byte("k-1"), Body: []byte(body)}
 	d.b.Start(d.Now(), a, r)
 	for _, b := range [][]byte{r.Method, r.Target, r.ID, r.Once, r.Body} {
 		copy(b, "################################") // it stands only for the call
@@ -472,3 +480,35 @@
 		}
 	}
 }
+
+// What an attempt that is given up has left in the system's buffers must not reach its target any more.
+func TestGivenUpAttemptSendsNoMore(t *testing.T) {
+	const receives = 4 << 10
+	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receives)
+		})
+		return err
+	}}
+	d := newBedAt(t, false, small)
+	a := d.startBody(0, strings.Repeat("x", 60<<10))
+	c := d.conn()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		d.b.mu.Lock()
+		l, ok := a.Conn.(*line)
+		written := ok && l.written
+		d.b.mu.Unlock()
+		if written {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the system never took it all")
+		}
+	}
+	d.b.Drop(a)
+	d.outcome(a, logic.Reset)
+	if m := new(http1.Message); http1.NewReader(c).Request(m) == nil {
+		t.Errorf("the target has the whole request, %d bytes, after it was given up", len(m.Body))
+	}
+}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -143,3 +143,10 @@
 func (s *Conn) Shut() {
 	s.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
 }
+
+// Abort is Shut for a connection whose unsent bytes must not reach the peer any more: once its reader has closed it, the
+// system drops them and resets the connection, where after Shut alone it would go on sending them.
+func (s *Conn) Abort() {
+	s.SetLinger(0)
+	s.Shut()
+}
