logic: units of an attempt that was given up stay on their way for 5 s

Cause: discharge took the units of a request that is over for arrived, though its attempt was given up, not known to have ended. The slice refilled, the limit's store was full meanwhile, and the request took its units when it came. Now they lessen what the slice may hold for lateArrival more, down to nothing above zero: rate and slack stay, so that a node that hangs shuts no volume. Not covered: what comes later than that, and what a killed process had on its way.

--- a/internal/platform/limit_test.go
+++ b/internal/platform/limit_test.go
@@ -23,9 +23,10 @@
 }
 
 // limited is a request of the volume with the limit.
-func limited(id string, units, cell, hosts int) string {
-	return put(id, "look", fmt.Sprintf("units=%d", units), "X-Storage-Class: thin", "Request-Timeout: 8000m",
-		fmt.Sprintf("X-Extent: volume=0000000000000007,units=%d,shard=%d,hosts=%d", units, cell, hosts))
+func limited(id string, units, cell, hosts int, changes ...string) string {
+	changes = append([]string{"X-Storage-Class: thin", "Request-Timeout: 8000m",
+		fmt.Sprintf("X-Extent: volume=0000000000000007,units=%d,shard=%d,hosts=%d", units, cell, hosts)}, changes...)
+	return put(id, "look", fmt.Sprintf("units=%d", units), changes...)
 }
 
 // audited is a target that tells an audit what reaches it.
@@ -60,25 +61,57 @@
 	return served
 }
 
-func TestLimitHoldsAfterARequestArrivedLate(t *testing.T) {
+// lateFleet is an initiator of its own process with two targets; the way to the one of cell 0 can be held.
+type lateFleet struct {
+	*process
+	audit *limitAudit
+	way   *link
+}
+
+func newLateFleet(t *testing.T) *lateFleet {
 	audit := newLimitAudit(limitRate, limitBurst, limitSlack)
 	far, near := audited(t, "s-1", audit), audited(t, "s-2", audit)
 	way := newLink(t, far.l.Addr().String())
 	discovery := newDiscovery(t, list(1, true, far.entryAt(way.listener.Addr().String(), "in_service", 0), near.entry("in_service", 1)))
 	p := startProcess(t, discovery.l.Addr().String(), limitedSettings())
 	time.Sleep(limitFills)
-	way.set(linkHolds)
-	late := p.dial()
+	return &lateFleet{p, audit, way}
+}
+
+// ask sends a request and gives the status of its answer.
+func (f *lateFleet) ask(request string) <-chan int {
+	p := f.dial()
 	answered := make(chan int, 1)
 	go func() {
-		status, _ := late.ask(limited(newID(), 8, 0, 1))
+		status, _ := p.ask(request)
 		answered <- status
 	}()
+	return answered
+}
+
+func TestLimitHoldsAfterARequestArrivedLate(t *testing.T) {
+	f := newLateFleet(t)
+	f.way.set(linkHolds)
+	late := f.ask(limited(newID(), 8, 0, 1))
 	time.Sleep(time.Second)
-	way.set(linkPasses)
-	if status := <-answered; status != 200 {
+	f.way.set(linkPasses)
+	if status := <-late; status != 200 {
 		t.Fatalf("the late request: status %d", status)
 	}
-	askAll(p.stand, 30, 1, 1)
-	audit.check(t, 10)
+	askAll(f.stand, 30, 1, 1)
+	f.audit.check(t, 10)
+}
+
+func TestLimitHoldsAfterAGivenUpRequestArrived(t *testing.T) {
+	f := newLateFleet(t)
+	f.way.set(linkHolds)
+	id := newID()
+	if status := <-f.ask(limited(id, 8, 0, 1, "Request-Timeout: 400m")); status == 200 {
+		t.Fatal("a request that has not arrived was served")
+	}
+	time.Sleep(time.Second)
+	f.way.set(linkPasses)
+	f.until("the request that was given up has arrived", func() bool { return f.audit.has(id) })
+	askAll(f.stand, 30, 1, 1)
+	f.audit.check(t, 10)
 }
--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -181,36 +181,43 @@
 type limitAudit struct {
 	rate, burst, slack float64
 
-	mu     sync.Mutex
-	store  float64
-	at     time.Time
-	least  float64
-	counts map[string]bool
-	units  float64
+	mu    sync.Mutex
+	store float64
+	at    time.Time
+	least float64
+	ids   map[string]bool
+	units float64
 }
 
 // limitMeasureTime is for how long the slack may grow at the limit's rate, by the protocol page.
 const limitMeasureTime = 150 * time.Millisecond
 
 func newLimitAudit(rate, burst, slack float64) *limitAudit {
-	return &limitAudit{rate: rate, burst: burst, slack: slack, store: burst, least: burst, at: time.Now(), counts: map[string]bool{}}
+	return &limitAudit{rate: rate, burst: burst, slack: slack, store: burst, least: burst, at: time.Now(), ids: map[string]bool{}}
 }
 
 // arrived takes a request's units when its last byte has reached a target first.
 func (a *limitAudit) arrived(id string, units float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.counts[id] {
+	if a.ids[id] {
 		return
 	}
 	now := time.Now()
-	a.counts[id] = true
+	a.ids[id] = true
 	a.store = min(a.store+a.rate*now.Sub(a.at).Seconds(), a.burst) - units
 	a.at = now
 	a.units += units
 	a.least = min(a.least, a.store)
 }
 
+// has tells whether a request has arrived.
+func (a *limitAudit) has(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ids[id]
+}
+
 // check fails the test if the store has been further below zero than the limit allows, or fewer units have arrived than
 // the test needs to tell.
 func (a *limitAudit) check(t testing.TB, needed float64) {
--- a/logic/limit.go
+++ b/logic/limit.go
@@ -7,6 +7,10 @@
 // if each holds no more than it may at every moment, so a slice is settled before anything that bounds it
 // changes.
 
+// lateArrival is how long an attempt that was given up may still be on its way: a link that was cut for some
+// seconds hands on then what it held.
+const lateArrival = 5 * sec
+
 // limitAllows tells whether the slice holds the units of a request.
 func (h *Host) limitAllows(r *request) bool {
 	return r.vol.plan.Limit <= 0 || h.fill(r.vol)-r.units >= -r.vol.plan.LimitSlack/r.vol.attached
@@ -18,8 +22,12 @@
 }
 
 // most is what the slice may hold now. Where nodes count, the bucket may stay full until a request reaches
-// its node: units that are charged and may still be on their way keep their place in the slice.
-func (v *volume) most() float64 { return v.plan.LimitBurst/v.attached - v.pending }
+// its node: units that are charged and may still be on their way keep their place in the slice. Those of
+// attempts that were given up leave the volume its rate and its slack, or a node that hangs would shut it.
+func (v *volume) most() float64 {
+	room := v.plan.LimitBurst/v.attached - v.pending
+	return room - min(v.straying, max(room, 0))
+}
 
 // settle brings what the slice holds up to now, by the bounds that held so far.
 func (h *Host) settle(v *volume) { v.store, v.stored = h.fill(v), h.now }
@@ -62,11 +70,27 @@
 	r.vol.pending -= r.units
 }
 
-// discharge ends the account of a request that is over; units that no node has seen go back into the slice.
+// discharge ends the account of a request that is over. Units that no node has seen go back into the slice;
+// those of an attempt that was given up stay on their way for a while.
 func (h *Host) discharge(r *request) {
-	back := r.pending && !r.unsure
+	v, pending := r.vol, r.pending
 	h.release(r)
-	if back {
-		r.vol.store += r.units
+	switch {
+	case !pending:
+	case r.adrift:
+		v.straying += r.units
+		h.strays = append(h.strays, stray{v, r.units, h.now + lateArrival})
+	case !r.unsure:
+		v.store += r.units
+	}
+}
+
+// releaseStrays forgets units that can be on their way no longer.
+func (h *Host) releaseStrays() {
+	for len(h.strays) > 0 && h.strays[0].until <= h.now {
+		s := h.strays[0]
+		h.settle(s.vol)
+		s.vol.straying -= s.units
+		h.strays = h.strays[1:]
 	}
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -133,6 +133,7 @@
 			}
 		}
 	}
+	h.releaseStrays()
 	h.watch()
 	h.expire()
 	h.releaseChains()
@@ -275,7 +276,7 @@
 	case Failed, Full: // it may have been answered before its last byte had left
 		r.unsure = true
 	case TimedOut, Reset, Cancelled:
-		r.unsure = true
+		r.unsure, r.adrift = true, r.adrift || e.Outcome != Reset
 		ran = true
 		if r.chain != nil {
 			r.chain.rest = max(r.chain.rest, h.now+h.set.Rules.OrderPause)
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,6 +46,14 @@
 	askWait  Micros
 	taken    []Micros // arrivals in the budget's window
 	extra    []Micros // further attempts in it
+	strays   []stray  // the first to be forgotten first
+}
+
+// stray is the units of a request that is over, whose attempt was given up and may still arrive.
+type stray struct {
+	vol   *volume
+	units float64
+	until Micros
 }
 
 // request is a request from its arrival until it is over and has no attempt out.
@@ -73,6 +81,7 @@
 	charged  bool // has drawn on the limit
 	pending  bool // and no node is known to have seen it
 	unsure   bool // one may have
+	adrift   bool // an attempt was given up and may still arrive
 	after    Micros
 	maybe    bool // an attempt may have run
 	group    *node
@@ -120,6 +129,7 @@
 	store    float64 // the host's slice of the limit
 	stored   Micros
 	pending  float64 // units charged that no node is known to have seen
+	straying float64 // and those of requests that are over and may still arrive
 	own      rate    // units served through this host
 	others   rate    // units told as served through other hosts
 	total    float64
