logic: a new process sends a cold node nothing until its predecessor's part of a window is over

What callers would see: a cold target pushed over when processes are killed and come back within the time of the rule, as many at once do under a release: each begins with an unused part, whatever its predecessor has sent.

Cause: coldPart divides by the hosts, and what a host has sent is known to one process alone. The guard for turns knew that (a host that began within the slot skips it), the even part did not. For a node that started before this process, the part is now nothing until the rule's time after the start.

TestColdNode's ages are now asked one window after the start, with the same bounds.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1057,6 +1057,10 @@
 		age := float64(max(at-rules.OverloadTime-started, 0)) / float64(rules.ColdTime)
 		return rules.ColdUnits * (1 + max(1/cmp.Or(rules.ColdFrom, 1)-1, 0)*age)
 	}
+	// What an earlier process of this host has sent it is not known: it may have been a whole part.
+	if known := h.began + rules.OverloadTime; started < h.began && at < known {
+		return 0, min(known, warm), warm
+	}
 	if part = grown(at) / float64(h.set.Hosts); part < max(h.set.UnitMean, 1) {
 		slot := max(Micros(coldSlot*float64(rules.OverloadTime)), 1)
 		part, next = h.turn(n, grown(at/slot*slot), slot, at)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -665,6 +665,7 @@
 			{0, 0, 3, 1}, {0, 0, 4, 0}, {3 * sec, 0, 5, 1}, {3 * sec, 0, 6, 0}, {10 * sec, 0, 60, 1},
 		} {
 			b := newBench(t, coldSettings(), 1)
+			b.wait(sec) // what was sent before this process is out of the window
 			b.step(restart(b, b.now-c.age))
 			if got := len(sends(b.step(b.ask(0, 0, units(c.units))))); got != c.want {
 				t.Errorf("age %d, %v units: %d sends, want %d", c.age, c.units, got, c.want)
--- /dev/null
+++ b/logic/slowstart_test.go
@@ -0,0 +1,44 @@
+package logic
+
+import "testing"
+
+// A process does not know what its predecessor has just sent a cold node: the host's part of a window goes out once.
+func TestRestartedHostSendsAColdNodeNoSecondPart(t *testing.T) {
+	set := coldSettings()
+	set.Hosts, set.UnitMean, set.Rules.ColdUnits = 3, 2, 30
+	const host = 10 // units of 30 that each of three hosts may send in a window
+	var at []Micros // of each unit sent
+	now := 100 * sec
+	started := now - 50*ms
+	for _, lives := range []Micros{200 * ms, 100 * ms, 300 * ms, 1500 * ms} {
+		now += 50 * ms // from the kill of one process to the start of the next
+		h, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.Step(now, []Event{NodeList{Kind: ListFull, Nodes: []Node{{ID: 1, State: Ready, Started: started}}}}, nil)
+		id := RequestID(0)
+		for end := now + lives; now < end; now += 5 * ms {
+			id++
+			arrival := Arrival{Request: id, Cell: 0, Volume: VolumeID(id), Plan: 3, Attached: 1, Units: 1, DropDead: now + sec}
+			for _, sent := range sends(h.Step(now, []Event{arrival}, nil)) {
+				at = append(at, now)
+				h.Step(now, []Event{AttemptEnded{Request: sent, Node: 1, Outcome: Failed, Load: NoLoad}}, nil)
+			}
+		}
+	}
+	if len(at) == 0 {
+		t.Fatal("nothing was sent")
+	}
+	for i, first := range at {
+		units := 0
+		for _, x := range at[i:] {
+			if x < first+set.Rules.OverloadTime {
+				units++
+			}
+		}
+		if units > host+2 { // the part grows a little within the window
+			t.Fatalf("%d units in the window from %d, the host's part is %d", units, first, host)
+		}
+	}
+}
