logic: what a cold node has not answered yet counts in its window, however long ago it left

What callers would see: a cold target pushed over when a link that held requests, or connections that came up late, hand on what several windows had sent.

Cause: coldAllows counts by the time of a send; the rule counts what reaches the target. A request that is out for longer than the rule's time was in no window any more and could arrive in the present one. What is out from before the window now counts in it as well.

Shown: TestUnansweredSendsStillCountAtAColdNode failed before (a request sent on top of a whole part that was out), passes now. Not covered, as no process can know it: requests that other processes sent in their turns over the same hold.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1028,7 +1028,7 @@
 func (h *Host) coldAllows(n *node, r *request) bool {
 	rules := &h.set.Rules
 	began := h.now - rules.OverloadTime
-	sent, served := n.sent.since(began), n.served.since(began)
+	sent, served := n.sent.since(began)+n.unanswered(began), n.served.since(began)
 	part, _, _ := h.coldPart(n, h.now)
 	// Exception: what the node has just served for each host it can do for all of them at once, so half
 	// of the multiple that pushes it over may go by that. Where calls are counted, as much as was served:
--- a/logic/slowstart_test.go
+++ b/logic/slowstart_test.go
@@ -42,3 +42,23 @@
 		}
 	}
 }
+
+// What was sent a cold node before the window and is not answered may arrive within it.
+func TestUnansweredSendsStillCountAtAColdNode(t *testing.T) {
+	set := coldSettings()
+	set.Hosts, set.UnitMean = 2, 1
+	b := newBench(t, set, 1)
+	b.wait(sec)
+	b.step(NodeList{Kind: ListDelta, Nodes: []Node{{ID: 1, State: Ready, Started: b.now}}})
+	first := sends(b.step(b.ask(1, 0, units(2)), b.ask(1, 0, units(1))))
+	if len(first) != 2 {
+		t.Fatalf("sent %v of a part of 3 units", first)
+	}
+	for range 20 {
+		a := b.ask(1, 0, units(1))
+		if got := sends(b.after(60*ms, a)); len(got) != 0 {
+			t.Fatalf("sent %v while 3 units, a whole part, may still arrive", got)
+		}
+		b.step(ClientGone{a.Request})
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -282,4 +282,14 @@
 	}
 }
 
+// unanswered is the units that left before the given time and may still arrive at the node.
+func (n *node) unanswered(before Micros) (units float64) {
+	for _, a := range n.flight {
+		if a.sent < before {
+			units += a.req.units
+		}
+	}
+	return units
+}
+
 func seconds(d Micros) float64 { return float64(d) / 1e6 }
