gateway: units of a limit stay on their way until a node has seen them, over a takeover too

What callers would see: the limit of a volume passed at the nodes behind a link that held reads for some tenths of a second.

Cause: the gateway's audit counts what nodes receive, as the platform does, but only the platform's initiator told the decisions so (DrawnAtNode): the gateway's slices refilled behind requests on their way. Now it says so too; what is on its way is part of what a process leaves to the next (OnTheWay, a new field, absent in older state), which keeps it for lateArrival; the slice is settled before it is written down.

TestUnitsOnTheWayOutliveTheProcess fails without the field. TestLimitOverRestarts reckons as before, by a function that both use.

--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -96,32 +97,17 @@
 		close(over)
 		wg.Wait()
 		const rate, burst, slack, jitter = 200.0, 40.0, 10.0, 0.1
-		var all []standin.Command
+		var arrivals []time.Time
 		for _, n := range f.Nodes {
-			all = append(all, n.Records()...)
-		}
-		f.Close()
-		level, last, least := burst, time.Time{}, burst
-		for len(all) > 0 { // in time's order over the nodes
-			first := 0
-			for i := range all {
-				if all[i].Received.Before(all[first].Received) {
-					first = i
-				}
-			}
-			c := all[first]
-			all[first] = all[len(all)-1]
-			all = all[:len(all)-1]
-			if !last.IsZero() {
-				level = min(level+rate*c.Received.Sub(last).Seconds(), burst)
+			for _, c := range n.Records() {
+				arrivals = append(arrivals, c.Received)
 			}
-			last = c.Received
-			level--
-			least = min(least, level)
 		}
-		if last.IsZero() {
+		f.Close()
+		if len(arrivals) == 0 {
 			t.Fatal("nothing was sent")
 		}
+		least := leastInStore(arrivals, rate, burst)
 		if least < -slack-rate*jitter {
 			t.Errorf("state kept %v: the limit's store went to %.1f, slack is %.0f", kept, least, slack)
 		}
@@ -200,3 +186,16 @@
 	}
 	return cfg
 }
+
+// leastInStore is how far the store of a limit goes down with an arrival of one unit at each of the times.
+func leastInStore(arrivals []time.Time, rate, burst float64) (least float64) {
+	slices.SortFunc(arrivals, time.Time.Compare)
+	level, last := burst, arrivals[0]
+	least = burst
+	for _, at := range arrivals {
+		level = min(level+rate*at.Sub(last).Seconds(), burst) - 1
+		last = at
+		least = min(least, level)
+	}
+	return least
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -96,7 +96,7 @@
 
 func (l *loader) defaults() {
 	l.c.Name = "gateway"
-	l.c.Logic.Hosts = 1
+	l.c.Logic.Hosts, l.c.Logic.DrawnAtNode = 1, true
 	l.c.Times = Times{AnswerMargin: 20_000, Connect: 2_000_000, KeepAlive: 10_000_000, Drain: 10_000_000}
 	l.c.Bounds = Bounds{Depth: 64, IOQueues: 2, Memory: 256 << 20, MostMemory: 1 << 40, MostBytes: 4 << 20}
 	l.c.Directory.Every = 5_000_000
--- a/logic/limit.go
+++ b/logic/limit.go
@@ -78,13 +78,18 @@
 	switch {
 	case !pending:
 	case r.adrift:
-		v.straying += r.units
-		h.strays = append(h.strays, stray{v, r.units, h.now + lateArrival})
+		h.stray(v, r.units, h.now)
 	case !r.unsure:
 		v.store += r.units
 	}
 }
 
+// stray keeps units on their way that nothing more will be heard of.
+func (h *Host) stray(v *volume, units float64, now Micros) {
+	v.straying += units
+	h.strays = append(h.strays, stray{v, units, now + lateArrival})
+}
+
 // releaseStrays forgets units that can be on their way no longer.
 func (h *Host) releaseStrays() {
 	for len(h.strays) > 0 && h.strays[0].until <= h.now {
--- a/logic/limit_test.go
+++ b/logic/limit_test.go
@@ -46,6 +46,31 @@
 	}
 }
 
+// What a process had on its way when another took over may still arrive.
+func TestUnitsOnTheWayOutliveTheProcess(t *testing.T) {
+	s := plain()
+	s.DrawnAtNode = true
+	s.Classes[0].Aim, s.Classes[0].Deadline = 20*sec, 20*sec
+	first := newBench(t, s, 20)
+	first.wait(10 * sec)
+	first.step(first.ask(0, 2, units(6), cell(0), attached(1)))
+	b := &bench{t: t, now: first.now}
+	var err error
+	if b.h, err = New(s, 2); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.h.Remember(b.now, first.h.Memory(first.now)); err != nil {
+		t.Fatal(err)
+	}
+	list := NodeList{Kind: ListFull}
+	for i := range 20 {
+		list.Nodes = append(list.Nodes, Node{ID: NodeID(i + 1), Cell: i, State: Ready})
+	}
+	b.step(list)
+	b.wait(2 * sec)
+	b.spend(s.Plans[2].LimitBurst - 6) // its node has just seen it
+}
+
 // spend asks for units of plan 2 until no more are sent, and wants the limit's store, which is at the given level, used
 // and not passed.
 func (b *bench) spend(store float64) {
--- a/logic/memory.go
+++ b/logic/memory.go
@@ -58,8 +58,9 @@
 	Last     Micros
 	Store    float64 // the host's slice of the limit
 	Stored   Micros
-	Known    bool // Store is what was left; otherwise what has been drawn since is not known
-	Own      Past // decaying sums, in units
+	Known    bool    // Store is what was left; otherwise what has been drawn since is not known
+	OnTheWay float64 // units charged that may still arrive at a node
+	Own      Past    // decaying sums, in units
 	Others   Past
 	Total    float64
 	TotalAge Micros
@@ -106,10 +107,13 @@
 		m.Nodes = append(m.Nodes, x)
 	}
 	for _, v := range h.ring {
+		if h.started && v.plan.Limit > 0 {
+			h.settle(v)
+		}
 		plan := slices.IndexFunc(h.set.Plans, func(p Plan) bool { return p == *v.plan })
 		m.Volumes = append(m.Volumes, VolumeMemory{ID: v.id, Plan: plan, Attached: v.attached, Balance: v.balance,
 			Credited: age(v.credited), Share: v.share, Last: age(v.last), Store: v.store, Stored: age(v.stored), Known: true,
-			Own: past(v.own), Others: past(v.others), Total: v.total, TotalAge: age(v.totalAt)})
+			OnTheWay: v.pending + v.straying, Own: past(v.own), Others: past(v.others), Total: v.total, TotalAge: age(v.totalAt)})
 	}
 	return m
 }
@@ -147,7 +151,7 @@
 	}
 	for i, v := range m.Volumes {
 		ok("volume", i, v.Balance, v.Store)
-		positive("volume", i, v.Attached, v.Share, v.Own.Units, v.Others.Units, v.Total)
+		positive("volume", i, v.OnTheWay, v.Attached, v.Share, v.Own.Units, v.Others.Units, v.Total)
 	}
 	return bad
 }
@@ -219,6 +223,9 @@
 		if v.store, v.stored = -plan.LimitSlack/x.Attached, now; x.Known {
 			v.store, v.stored = min(x.Store, plan.LimitBurst/x.Attached), at(x.Stored)
 		}
+		if x.OnTheWay > 0 {
+			h.stray(v, x.OnTheWay, now)
+		}
 		h.volumes[x.ID] = v
 		h.ring = append(h.ring, v)
 	}
