target: a killed process leaves nothing in the system's buffers for a target

What callers would see: a request of a killed process arrives after its client has asked again: a second run of what must not run twice, units of a limit that no process accounts for.

Cause: the system goes on sending what a dead process has written, as only attempts that were given up reset their connection. Connections to targets are now set to drop what is unsent from the start (sock.Conn.DropUnsent, in place of Abort); idle ones still end in order.

Shown: TestKilledProcessSendsNoMore, SIGKILL to a real process with most of a request of 60 KiB unsent: the target had all of it, 3 of 3 runs; now none of 2. TestGivenUpAttemptSendsNoMore holds as before.

--- a/internal/platform/target/target.go
+++ b/internal/platform/target/target.go
@@ -205,7 +205,7 @@
 	}
 	l.dropped, l.recall = true, l.recall || part
 	if l.conn != nil {
-		l.conn.Abort() // its reader brings the end
+		l.conn.Shut() // its reader brings the end
 	}
 	l.cancel()
 }
@@ -256,10 +256,11 @@
 		delete(b.lines, l)
 		b.spares.Gone(&l.spare)
 	}
-	l.state = over
 	if l.conn != nil {
-		l.conn.Shut() // its reader closes it
+		l.conn.DropUnsent(l.state != idle) // an idle one has nothing unsent, and ends in order
+		l.conn.Shut()                      // its reader closes it
 	}
+	l.state = over
 	l.cancel()
 }
 
@@ -284,7 +285,7 @@
 		if l.state == idle || l.state == told {
 			b.end(l)
 		} else if l.dropped = true; l.conn != nil {
-			l.conn.Abort()
+			l.conn.Shut()
 		}
 		l.cancel()
 	}
@@ -335,6 +336,8 @@
 		return
 	}
 	defer conn.Close()
+	// An attempt that is given up, or whose process is killed, must not arrive after that.
+	conn.DropUnsent(true)
 	conn.Guard(&b.mu, func() { l.stray = l.stray || l.state != busy })
 	l.conn, l.state = conn, busy
 	l.write(now)
@@ -360,7 +363,7 @@
 	case <-rested:
 		return false
 	default:
-		l.conn.Abort()
+		l.conn.Shut()
 		<-rested
 		return true
 	}
--- a/internal/sock/sock.go
+++ b/internal/sock/sock.go
@@ -144,9 +144,13 @@
 	s.raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_RDWR) })
 }
 
-// Abort is Shut for a connection whose unsent bytes must not reach the peer any more: once its reader has closed it, the
-// system drops them and resets the connection, where after Shut alone it would go on sending them.
-func (s *Conn) Abort() {
-	s.SetLinger(0)
-	s.Shut()
+// DropUnsent says what becomes of bytes that the peer has not taken yet when the connection is closed, also by the end
+// of the process: they are dropped and the connection is reset, or the system goes on sending them, as it does by
+// itself.
+func (s *Conn) DropUnsent(drop bool) {
+	seconds := -1
+	if drop {
+		seconds = 0
+	}
+	s.SetLinger(seconds)
 }
