ring: a process that has handed over leaves the path of its sockets to the next one

Cause: until thaw had run, the old process's listener removed its path when closed. Between the word 'go', with which the next process has it, and the thaw, its own end (StopTaking, the context of Serve) closed it. Now a listener keeps the path from the moment that its copy is made for the next process, and gets it back only where the takeover fails; both under the listener's lock.

Not covered: a process that is told to end while a takeover that fails stands still leaves the path behind, as a kill does; the next one removes it.

--- a/internal/front/ring/handover.go
+++ b/internal/front/ring/handover.go
@@ -124,16 +124,17 @@
 		}
 		for _, v := range srv.volumes {
 			if goOn {
+				v.keepPath(false)
 				v.l.SetDeadline(time.Time{})
 			} else {
-				v.l.SetUnlinkOnClose(false)
-				v.l.Close()
+				v.close()
 			}
 		}
 		h.Close()
 	}
 	for _, v := range srv.volumes {
 		v.l.SetDeadline(time.Unix(1, 0))
+		v.keepPath(true) // from its copy on it may be the next process's, whatever ends this one
 		fd, ferr := dupOf(v.l)
 		if ferr != nil {
 			thaw(true)
@@ -338,8 +339,8 @@
 // still has it.
 func (srv *Server) Drop() {
 	for _, l := range srv.volumes {
-		l.l.SetUnlinkOnClose(false)
-		l.l.Close()
+		l.keepPath(true)
+		l.close()
 		for _, s := range l.adopted {
 			for _, v := range s.rings {
 				v.leave()
--- a/internal/front/ring/server.go
+++ b/internal/front/ring/server.go
@@ -47,6 +47,20 @@
 	adopted []*session // taken over, not begun
 }
 
+// close lets no client in any more.
+func (v *listener) close() {
+	v.mu.Lock()
+	v.l.Close()
+	v.mu.Unlock()
+}
+
+// keepPath says whether the socket's path stays when the listener is closed.
+func (v *listener) keepPath(keep bool) {
+	v.mu.Lock()
+	v.l.SetUnlinkOnClose(!keep)
+	v.mu.Unlock()
+}
+
 // New makes a server without sockets; its sessions end with ctx.
 func New(ctx context.Context, cfg *settings.Config, e *engine.Engine, log *zap.Logger) *Server {
 	return &Server{ctx: ctx, cfg: cfg, engine: e, log: log, mostMemory: cfg.Bounds.MostMemory}
@@ -108,7 +122,7 @@
 func (s *Server) accept(ctx context.Context, v *listener) error {
 	var clients errgroup.Group
 	clients.SetLimit(mostSessions)
-	stop := context.AfterFunc(ctx, func() { v.l.Close() })
+	stop := context.AfterFunc(ctx, v.close)
 	defer stop()
 	defer clients.Wait()
 	log := s.log.With(zap.String("volume", v.dev.Name))
@@ -168,7 +182,7 @@
 // StopTaking lets no client in and takes nothing more off the rings; what was taken is still answered.
 func (s *Server) StopTaking() {
 	for _, v := range s.volumes {
-		v.l.Close()
+		v.close()
 		v.mu.Lock()
 		v.drain = true
 		for ss := range v.live {
@@ -184,7 +198,7 @@
 // Close lets go of sockets that were never served.
 func (s *Server) Close() {
 	for _, v := range s.volumes {
-		v.l.Close()
+		v.close()
 	}
 }
 
