logic: a limit is divided by all hosts that a request names, though the settings know of fewer

What callers would see: the limit of a volume passed several times over while a fleet grows: settings count from a process's start, so old processes know of fewer hosts than there are.

Cause: Host.volume took a figure above the hosts of the settings for senseless and divided by theirs. Now up to 16 times as many make sense.

--- a/logic/limit_test.go
+++ b/logic/limit_test.go
@@ -71,6 +71,19 @@
 	b.spend(s.Plans[2].LimitBurst - 6) // its node has just seen it
 }
 
+// A request may come through more hosts than the settings know of, in a fleet that has grown since.
+func TestLimitIsSharedAmongAllHostsThatARequestNames(t *testing.T) {
+	b := newBench(t, plain(), 20) // the settings know of two hosts
+	b.wait(10 * sec)
+	sent := 0.0
+	for i := range 20 {
+		sent += float64(len(sends(b.step(b.ask(0, 2, units(1), cell(i), attached(5), key(0))))))
+	}
+	if plan := b.h.set.Plans[2]; sent > (plan.LimitBurst+plan.LimitSlack)/5 || sent == 0 {
+		t.Errorf("%v units sent, this host's part of five is %v", sent, (plan.LimitBurst+plan.LimitSlack)/5)
+	}
+}
+
 // spend asks for units of plan 2 until no more are sent, and wants the limit's store, which is at the given level, used
 // and not passed.
 func (b *bench) spend(store float64) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -67,8 +67,11 @@
 	// meterTime smooths what others serve; meterOld is the age at which such news counts as none.
 	meterTime = 1 * sec
 	meterOld  = 3 * sec
-	idleAge   = 30 * sec // a volume that is idle for so long loses its entry
-	askAgain  = 500 * ms // the first wait before a failed ask for the node list is repeated; it doubles
+	// fleetGrowth is how many times the hosts of the settings a request may name: the fleet may have grown
+	// since they were read. More makes no sense.
+	fleetGrowth = 16
+	idleAge     = 30 * sec // a volume that is idle for so long loses its entry
+	askAgain    = 500 * ms // the first wait before a failed ask for the node list is repeated; it doubles
 )
 
 // New starts a host, or gives an error that names the setting that cannot be right.
@@ -225,8 +228,8 @@
 
 func (h *Host) volume(e Arrival) *volume {
 	attached := e.Attached
-	if !(attached >= 1 && attached <= float64(h.set.Hosts)) {
-		attached = float64(h.set.Hosts) // there can't be more
+	if !(attached >= 1 && attached <= fleetGrowth*float64(h.set.Hosts)) {
+		attached = float64(h.set.Hosts)
 	}
 	v := h.volumes[e.Volume]
 	if v == nil {
