logic: slow start and the retry budget in files of their own, named as policy

Moved as they stand; coldAllows, coldPart and coldSlot are slowStartAllows, slowStartShare and turnLength now.

--- a/logic/api.go
+++ b/logic/api.go
@@ -1,7 +1,8 @@
 // Package logic decides what one host (initiator) of a shared disk pool does with the requests it
 // takes: which leaves next, to which storage node, when it is tried again and when it is refused.
 // It holds no clock, goroutine or I/O: the caller hands events to [Host.Step] and carries out the
-// actions that come back. This file is the interface; logic.go holds every decision.
+// actions that come back. This file is the interface; logic.go, limit.go, slowstart.go and
+// retrybudget.go hold the decisions.
 package logic
 
 // Micros is a point on the caller's clock or a length of time, in microseconds. The clock may start
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,10 +1,11 @@
 package logic
 
-// The interface of this module (settings, events, actions) is in logic/api.go; every decision is here.
+// The interface of this module (settings, events, actions) is in logic/api.go. Decisions are here and, for
+// the rules on single figures, in limit.go (rate limits), slowstart.go (cold nodes) and retrybudget.go.
 //
 // The mechanism is Gage's (docs/design.md): a queue per volume with a balance in units, visited in
 // weighted round-robin; what room is left is shared by reservation; a window bounds each node. Read on
-// in this order: constants, state, events, cycle, node window, guards of the rules.
+// in this order: constants, state, events, cycle, node window.
 
 import (
 	"cmp"
@@ -55,7 +56,6 @@
 	// the hosts how long at most a node is left alone after an attempt in vain, with the same purpose.
 	lateRest = 250 * ms
 	vainRest = 50 * ms
-	coldSlot = 1.5 // of a turn: longer ones find more requests waiting, shorter ones go round faster
 
 	retryPause = 30 * ms // the wait before a further attempt; it doubles with each
 	// A node that took no connection is left alone for downPause, doubling to downMost, before one tries it.
@@ -567,8 +567,8 @@
 		opened := max(n.last, n.halved[0]) + Micros(float64(newsOld)*(1+math.Log2(1/w)))
 		at = max(at, min(n.sentAt+Micros(h.pace(n)/w), opened))
 	}
-	if part, next, warm := h.coldPart(n, at); units > part {
-		if part, _, _ = h.coldPart(n, next); units > part {
+	if part, next, warm := h.slowStartShare(n, at); units > part {
+		if part, _, _ = h.slowStartShare(n, next); units > part {
 			next = warm
 		}
 		at = max(at, next)
@@ -761,7 +761,7 @@
 		pass == 1 && h.opening(1) < 1 && wait > sparePart*float64(h.shortAim) {
 		return false // the last line: many hosts, whose windows learn late that no room is left
 	}
-	return (h.room(n, pass) || try) && h.coldAllows(n, r)
+	return (h.room(n, pass) || try) && h.slowStartAllows(n, r)
 }
 
 func (h *Host) send(r *request, n *node) {
@@ -1024,79 +1024,3 @@
 	}
 	h.unit += smooth * (x - h.unit)
 }
-
-// ---- guards of the rules ----
-
-// coldAllows keeps this host's part of what a cold node always bears, over every overload window.
-func (h *Host) coldAllows(n *node, r *request) bool {
-	rules := &h.set.Rules
-	began := h.now - rules.OverloadTime
-	sent, served := n.sent.since(began)+n.unanswered(began), n.served.since(began)
-	part, _, _ := h.coldPart(n, h.now)
-	// Exception: what the node has just served for each host it can do for all of them at once, so half
-	// of the multiple that pushes it over may go by that. Where calls are counted, as much as was served:
-	// with twice that a host doubled its sends in each answer's time while a run of cheap requests lasted.
-	grow := rules.TipMultiple / 2
-	if h.set.ColdByCount {
-		grow = min(grow/2, 1)
-	}
-	return sent+r.units <= max(part, grow*served)
-}
-
-// coldPart is what this host may send a node within an overload time that ends at the given time, without
-// bound once it is warm; and when it may next send there, and when without bound.
-func (h *Host) coldPart(n *node, at Micros) (part float64, next, warm Micros) {
-	rules := &h.set.Rules
-	started := n.Started
-	if n.revived > started && at < n.revived+doubt {
-		started = n.revived
-	}
-	if warm = started + rules.ColdTime; started <= 0 || rules.ColdTime <= 0 || at >= warm {
-		return math.Inf(1), at, at
-	}
-	// Exception: the part grows as the node's capacity must, evenly from ColdFrom to the whole over
-	// ColdTime, seen from the start of the window.
-	grown := func(at Micros) float64 {
-		age := float64(max(at-rules.OverloadTime-started, 0)) / float64(rules.ColdTime)
-		return rules.ColdUnits * (1 + max(1/cmp.Or(rules.ColdFrom, 1)-1, 0)*age)
-	}
-	// What an earlier process of this host has sent it is not known: it may have been a whole part.
-	if known := h.began + rules.OverloadTime; started < h.began && at < known {
-		return 0, min(known, warm), warm
-	}
-	if part = grown(at) / float64(h.set.Hosts); part < max(h.set.UnitMean, 1) {
-		slot := max(Micros(coldSlot*float64(rules.OverloadTime)), 1)
-		part, next = h.turn(n, grown(at/slot*slot), slot, at)
-		return part, min(next, warm), warm
-	}
-	return part, warm, warm
-}
-
-// turn is what this host may send a cold node in the slot of the given time, and when its next slot is.
-// Exception: where the even slice is under one request and nothing could ever go, slots of coldSlot overload
-// times go round the hosts by number and node. Half of the units goes in a slot, as a window meets two, also
-// with clocks half an overload time apart. A host that began within the slot may have used its turn before.
-func (h *Host) turn(n *node, units float64, slot, at Micros) (float64, Micros) {
-	takers := max(1, int(units/2/max(h.set.UnitMean, 1)))
-	first := (int(n.ID%65536) + int(at/slot)*takers) % h.set.Hosts
-	place := (h.set.Number - first + h.set.Hosts) % h.set.Hosts
-	if place >= takers || at/slot <= h.began/slot {
-		return 0, (at/slot + max(Micros(place/takers), 1)) * slot
-	}
-	return units / 2 / float64(takers), at
-}
-
-// budgetAllows keeps further attempts within the budget over every window.
-func (h *Host) budgetAllows() bool {
-	rules := &h.set.Rules
-	if rules.BudgetWindow <= 0 {
-		return true
-	}
-	for len(h.taken) > 0 && h.now-h.taken[0] >= rules.BudgetWindow {
-		h.taken = h.taken[1:]
-	}
-	for len(h.extra) > 0 && h.now-h.extra[0] > rules.BudgetWindow {
-		h.extra = h.extra[1:]
-	}
-	return float64(len(h.extra)+1) <= rules.BudgetFree+rules.BudgetPerTake*float64(len(h.taken))
-}
