members: starts of targets are taken by discovery's clock, not by a machine's that was set wrong

What callers would see: a cold target pushed over by an initiator whose machine's clock is ahead, as it takes the target for warm; one that is behind spares warm targets for as long as it is.

Cause: up_since_ms was compared with the wall clock at the process's start (Shell.base). Now the youngest start that is known says how the clocks are: none is in the future, and while the list is followed news of a start is at most a minute late.

TestStartsWhereClocksAreApart failed for an hour ahead, an hour behind, and 5 s behind.

--- a/internal/platform/limit_fleet_test.go
+++ b/internal/platform/limit_fleet_test.go
@@ -25,6 +25,7 @@
 // Three processes serve one volume; their links to the targets are cut, targets turn away, fail and hang, processes are
 // killed. What reaches the targets holds the limit.
 func TestLimitHoldsOverProcessesUnderFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range *limitSeeds {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { playLimit(t, uint64(seed), limitProcesses) })
 	}
@@ -32,6 +33,7 @@
 
 // The same with settings of the time when there was one process.
 func TestLimitHoldsInAFleetThatHasGrown(t *testing.T) {
+	t.Parallel()
 	for seed := range *limitSeeds {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) { playLimit(t, uint64(seed), 1) })
 	}
--- a/internal/platform/limit_test.go
+++ b/internal/platform/limit_test.go
@@ -90,6 +90,7 @@
 }
 
 func TestLimitHoldsAfterARequestArrivedLate(t *testing.T) {
+	t.Parallel()
 	f := newLateFleet(t)
 	f.way.set(linkHolds)
 	late := f.ask(limited(newID(), 8, 0, 1))
@@ -103,6 +104,7 @@
 }
 
 func TestLimitHoldsAfterAGivenUpRequestArrived(t *testing.T) {
+	t.Parallel()
 	f := newLateFleet(t)
 	f.way.set(linkHolds)
 	id := newID()
--- /dev/null
+++ b/members/clock_test.go
@@ -0,0 +1,94 @@
+package members
+
+import (
+	"testing"
+
+	"appleplank/logic"
+)
+
+// startedAt is a target whose start discovery tells by its own clock.
+func startedAt(id uint32, at logic.Micros) Target {
+	t := target(id, logic.Ready)
+	t.Started = at
+	return t
+}
+
+// A start that is told while the list is followed was a moment ago, however far apart the clocks are.
+func TestStartsWhereClocksAreApart(t *testing.T) {
+	const now, hour, late = 100_000 * sec, 3600 * sec, 3 * sec
+	for name, c := range map[string]struct {
+		ahead    logic.Micros // of this machine's clock
+		earliest logic.Micros // by it, that the start may count for
+	}{
+		"alike":        {0, now - late},
+		"hour ahead":   {hour, now - late},
+		"hour behind":  {-hour, now - late},
+		"a bit behind": {-5 * sec, now - late},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, _ := NewFollow(now-20*sec, News{})
+			old := startedAt(1, now-c.ahead-1000*sec)
+			f.Told(now-10*sec, News{Revision: 1, Complete: true, Targets: []Target{old, target(2, logic.Ready)}}, true)
+			changed, _, _ := f.Told(now, News{Revision: 2, Targets: []Target{startedAt(3, now-c.ahead-late)}}, false)
+			found := false
+			for _, n := range changed {
+				if n.ID == 3 {
+					found = true
+					if n.Started < c.earliest || n.Started > now {
+						t.Errorf("counts as started %d us ago, it was %d", now-n.Started, late)
+					}
+				}
+			}
+			if !found {
+				t.Fatal("the change is not told")
+			}
+			for _, x := range f.Targets() {
+				if x.ID == 2 && x.Started != 0 {
+					t.Errorf("one of long ago counts as started at %d", x.Started)
+				}
+				if x.ID == 1 && (x.Started > now-900*sec || x.Started <= 0) {
+					t.Errorf("one of 1000 s ago counts as started %d s ago", (now-x.Started)/sec)
+				}
+			}
+		})
+	}
+}
+
+// Clocks that agree leave starts as they are told, late news too.
+func TestStartsWhereClocksAgree(t *testing.T) {
+	const now = 100_000 * sec
+	f, _ := NewFollow(now-20*sec, News{Targets: []Target{startedAt(1, now-30*sec)}})
+	f.Told(now-10*sec, News{Revision: 1, Complete: true, Targets: []Target{startedAt(1, now-30*sec), startedAt(2, now-500*sec)}}, true)
+	f.Told(now, News{Revision: 2, Targets: []Target{startedAt(3, now-20*sec), startedAt(4, now-sec)}}, false)
+	want := map[logic.NodeID]logic.Micros{1: now - 30*sec, 2: now - 500*sec, 3: now - 20*sec, 4: now - sec}
+	for _, x := range f.Targets() {
+		if x.Started != want[x.ID] {
+			t.Errorf("target %d counts as started %d us from what was told", x.ID, x.Started-want[x.ID])
+		}
+	}
+}
+
+// A target that comes back into the list with its old start says nothing of the clocks while others are younger.
+func TestOldStartsOfReturnedTargets(t *testing.T) {
+	const now = 100_000 * sec
+	f, _ := NewFollow(now-20*sec, News{})
+	f.Told(now-10*sec, News{Revision: 1, Complete: true, Targets: []Target{startedAt(1, now-30*sec)}}, true)
+	f.Told(now, News{Revision: 2, Targets: []Target{startedAt(2, now-900*sec)}}, false)
+	for _, x := range f.Targets() {
+		if want := map[logic.NodeID]logic.Micros{1: now - 30*sec, 2: now - 900*sec}[x.ID]; x.Started != want {
+			t.Errorf("target %d counts as started %d us from what was told", x.ID, x.Started-want)
+		}
+	}
+}
+
+func TestStartsThatCannotBeSetNoClock(t *testing.T) {
+	const now = 100_000_000 * sec
+	f, _ := NewFollow(now-20*sec, News{})
+	f.Told(now-10*sec, News{Revision: 1, Complete: true, Targets: []Target{startedAt(1, now-30*sec)}}, true)
+	f.Told(now, News{Revision: 2, Targets: []Target{startedAt(2, 1000*now), startedAt(3, 1)}}, false)
+	for _, x := range f.Targets() {
+		if x.ID == 1 && x.Started != now-30*sec {
+			t.Errorf("the start of another counts as %d us from what was told", x.Started-(now-30*sec))
+		}
+	}
+}
--- a/members/follow.go
+++ b/members/follow.go
@@ -49,12 +49,15 @@
 	revision uint64
 	whole    bool // something is missing: the whole list must be asked for
 	fails    int
-	told     int // the address, counted in the order of their use, that has told something last
+	told     int  // the address, counted in the order of their use, that has told something last
+	heard    bool // discovery has told a list that was taken
+	clock    startClock
 }
 
 type followed struct {
 	Target
-	gone logic.Micros // since when; 0: it is not
+	began logic.Micros // its start as told; Target has it by this machine's clock
+	gone  logic.Micros // since when; 0: it is not
 }
 
 // NewFollow starts with the list as it was last held.
@@ -118,7 +121,9 @@
 	}
 	f.revision = n.Revision
 	n.Targets, complaint = f.apart(n.Targets)
-	return f.apply(now, n), false, complaint
+	changed = f.apply(now, n)
+	f.heard = true
+	return changed, false, complaint
 }
 
 // apart leaves out what bears the number of another target: logic could not tell them apart.
@@ -163,7 +168,10 @@
 			}
 		}
 	}
+	changed = append(changed, f.setClock(now, n.Targets)...)
 	for _, x := range n.Targets {
+		began := x.Started
+		x.Started = f.clock.own(began)
 		t := f.targets[x.Name]
 		if t == nil {
 			if x.State == logic.Gone {
@@ -175,7 +183,7 @@
 			continue
 		}
 		x.Address = cmp.Or(x.Address, t.Address)
-		t.Target, t.gone = x, 0
+		t.Target, t.began, t.gone = x, began, 0
 		if x.State == logic.Gone {
 			t.gone = now
 		}
@@ -186,10 +194,44 @@
 			delete(f.targets, name)
 		}
 	}
-	slices.SortFunc(changed, func(a, b logic.Node) int { return cmp.Compare(a.ID, b.ID) })
+	return lastOfEach(changed)
+}
+
+// setClock learns from the starts that a list tells how this machine's clock is set, and gives the targets held whose
+// starts count otherwise by that.
+func (f *Follow) setClock(now logic.Micros, list []Target) (changed []logic.Node) {
+	youngest, fresh := logic.Micros(0), false
+	for _, t := range f.targets {
+		youngest = max(youngest, t.began)
+	}
+	for _, x := range list {
+		t := f.targets[x.Name]
+		fresh = fresh || x.State != logic.Gone && x.Started > 0 && (t == nil || t.began != x.Started)
+		youngest = max(youngest, x.Started)
+	}
+	if !f.clock.learn(now, youngest, f.heard && fresh) {
+		return nil
+	}
+	for _, t := range f.targets {
+		if own := f.clock.own(t.began); own != t.Started {
+			t.Started = own
+			changed = append(changed, t.Node)
+		}
+	}
 	return changed
 }
 
+// lastOfEach keeps the last news of each node, in order of ids.
+func lastOfEach(changed []logic.Node) (out []logic.Node) {
+	slices.SortStableFunc(changed, func(a, b logic.Node) int { return cmp.Compare(a.ID, b.ID) })
+	for i, n := range changed {
+		if i+1 == len(changed) || changed[i+1].ID != n.ID {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // Targets gives all that are held, by id.
 func (f *Follow) Targets() (out []Target) {
 	for _, t := range f.targets {
