--- a/logic/limit_test.go
+++ b/logic/limit_test.go
@@ -71,6 +71,29 @@
 	b.spend(s.Plans[2].LimitBurst - 6) // its node has just seen it
 }
 
+// What is kept of requests that were given up is bounded by what a slice can send in the time that it is kept.
+func TestUnitsGivenUpAreForgotten(t *testing.T) {
+	s := plain()
+	s.DrawnAtNode = true
+	b := newBench(t, s, 20)
+	plan := s.Plans[2]
+	bound := int(plan.LimitBurst + plan.LimitSlack + plan.Limit*seconds(lateArrival))
+	most := 0
+	for i := range 600 {
+		for _, id := range sends(b.after(100*ms, b.ask(0, 2, units(1), cell(i%20), attached(1), key(0)))) {
+			b.step(ClientGone{id}, end(id, 0, NodeID(i%20+1), TimedOut))
+		}
+		most = max(most, len(b.h.strays))
+	}
+	if most > bound || most < 5 {
+		t.Errorf("%d given-up requests kept, at most %d of one unit can have left", most, bound)
+	}
+	b.wait(lateArrival + sec)
+	if v := b.h.volumes[2]; len(b.h.strays) > 0 || v.straying != 0 {
+		t.Errorf("%d still kept, %v units", len(b.h.strays), v.straying)
+	}
+}
+
 // A request may come through more hosts than the settings know of, in a fleet that has grown since.
 func TestLimitIsSharedAmongAllHostsThatARequestNames(t *testing.T) {
 	b := newBench(t, plain(), 20) // the settings know of two hosts
