members: a start that cannot be counts as now for its target alone, no clock is reckoned from it

Now a start in the future, or over a minute old when it is first told while the list is followed, counts as started now, for that target alone; the others keep what was told.

Shown: TestWrongStartIsOneTargetsOwn, both ways (written with the change; the form before has no such case). TestStartsWhereClocks- AreApart holds; what it says of targets of the first list is loosened to what can be known: not started after they were told.

--- a/members/follow.go
+++ b/members/follow.go
@@ -51,7 +51,6 @@
 	fails    int
 	told     int  // the address, counted in the order of their use, that has told something last
 	heard    bool // discovery has told a list that was taken
-	clock    startClock
 }
 
 type followed struct {
@@ -168,18 +167,22 @@
 			}
 		}
 	}
-	changed = append(changed, f.setClock(now, n.Targets)...)
 	for _, x := range n.Targets {
 		began := x.Started
-		x.Started = f.clock.own(began)
-		t := f.targets[x.Name]
-		if t == nil {
+		t, held := f.targets[x.Name]
+		if !held {
 			if x.State == logic.Gone {
 				continue
 			}
 			t = &followed{}
 			f.targets[x.Name] = t
-		} else if t.Node == x.Node && t.Address == cmp.Or(x.Address, t.Address) {
+		}
+		if held && began == t.began {
+			x.Started = t.Started
+		} else {
+			x.Started = ownStart(now, began, f.heard)
+		}
+		if held && t.Node == x.Node && t.Address == cmp.Or(x.Address, t.Address) {
 			continue
 		}
 		x.Address = cmp.Or(x.Address, t.Address)
@@ -194,44 +197,10 @@
 			delete(f.targets, name)
 		}
 	}
-	return lastOfEach(changed)
-}
-
-// setClock learns from the starts that a list tells how this machine's clock is set, and gives the targets held whose
-// starts count otherwise by that.
-func (f *Follow) setClock(now logic.Micros, list []Target) (changed []logic.Node) {
-	youngest, fresh := logic.Micros(0), false
-	for _, t := range f.targets {
-		youngest = max(youngest, t.began)
-	}
-	for _, x := range list {
-		t := f.targets[x.Name]
-		fresh = fresh || x.State != logic.Gone && x.Started > 0 && (t == nil || t.began != x.Started)
-		youngest = max(youngest, x.Started)
-	}
-	if !f.clock.learn(now, youngest, f.heard && fresh) {
-		return nil
-	}
-	for _, t := range f.targets {
-		if own := f.clock.own(t.began); own != t.Started {
-			t.Started = own
-			changed = append(changed, t.Node)
-		}
-	}
+	slices.SortFunc(changed, func(a, b logic.Node) int { return cmp.Compare(a.ID, b.ID) })
 	return changed
 }
 
-// lastOfEach keeps the last news of each node, in order of ids.
-func lastOfEach(changed []logic.Node) (out []logic.Node) {
-	slices.SortStableFunc(changed, func(a, b logic.Node) int { return cmp.Compare(a.ID, b.ID) })
-	for i, n := range changed {
-		if i+1 == len(changed) || changed[i+1].ID != n.ID {
-			out = append(out, n)
-		}
-	}
-	return out
-}
-
 // Targets gives all that are held, by id.
 func (f *Follow) Targets() (out []Target) {
 	for _, t := range f.targets {
