core: the reason of an answer is put together only where a trace is written

Cause: each answer that a limit refuses built a string for a trace that is off, one allocation on the way of every refusal. Found in reading the change again. No measurement; the tests of the core pass.

--- a/internal/platform/core/core.go
+++ b/internal/platform/core/core.go
@@ -182,7 +182,9 @@
 
 func (c *Core) finish(now logic.Micros, e *entry, a Answer) {
 	c.tally.Answers[a.Verdict]++
-	c.note(now, "answer", e.id, 0, 0, reason(a), 0, logic.NoLoad)
+	if c.trace != nil {
+		c.note(now, "answer", e.id, 0, 0, reason(a), 0, logic.NoLoad)
+	}
 	c.out = append(c.out, action{kind: answer, request: e.r, answer: a})
 	c.over(e)
 }
