target: a broken connection is closed before the end of its attempt is told

Cause: the end was told first and the connection reset when its reader returned; a target that read on in between was sent what the system still held. Now the reset comes first. A moment is left between shutting the connection and its reader's waking. Shown: sixteen copies at once, 150 runs each, race detector: 51 of 2,400 failed before, none after.

--- a/internal/platform/target/target.go
+++ b/internal/platform/target/target.go
@@ -463,6 +463,9 @@
 	l.attempt = nil
 	b.end(l)
 	b.mu.Unlock()
+	if l.conn != nil {
+		l.conn.Close() // what is unsent is dropped before the end is told
+	}
 	b.sink.Ended(a, core.Result{Outcome: how, Load: logic.NoLoad})
 }
 
