--- a/review/stand/order.go
+++ b/review/stand/order.go
@@ -52,7 +52,7 @@
 	defer in.kill()
 	d.change(targets[3], "terminating")
 	time.Sleep(500 * time.Millisecond)
-	const repeats, rounds, lead = 6, 6, 300 * time.Millisecond
+	const repeats, rounds, lead = 5, 6, 150 * time.Millisecond
 	for range rounds {
 		first, second := in.dial("one"), in.dial("two")
 		g.warm(first)
