--- a/review/stand/order.go
+++ b/review/stand/order.go
@@ -16,7 +16,7 @@
 const minLead = 50 * time.Millisecond
 
 // laterRanFirst takes two writes of one piece of data, sent on two connections, and reports whether the one that was
-// taken later reached the target first. A write that was refused or failed is no break.
+// taken later reached the target first, and what a read finds afterwards. A write that was refused or failed is no break.
 func (g *rig) laterRanFirst(t *target, first, second *client, a, b *request, wroteA, beganB time.Time) (broken string) {
 	answerA, answerB := first.receive(a, 6*time.Second), second.receive(b, 6*time.Second)
 	ranA, ranB := t.find(a.id), t.find(b.id)
@@ -27,8 +27,11 @@
 	case lead < minLead:
 		g.note("no verdict: only %v between the writes", lead)
 	case ranB.at.Before(ranA.at):
-		return fmt.Sprintf("block %s: the write %s, taken %.0f ms after the write %s, ran %.1f ms before it; both were answered 200",
-			a.block, b.id, lead.Seconds()*1000, a.id, ranA.at.Sub(ranB.at).Seconds()*1000)
+		r := g.read(a.block, t.cell)
+		first.send(r)
+		found := first.receive(r, 4*time.Second)
+		return fmt.Sprintf("block %s: the write %s, taken %.0f ms after the write %s, ran %.1f ms before it; both were answered 200; a read now finds %q",
+			a.block, b.id, lead.Seconds()*1000, a.id, ranA.at.Sub(ranB.at).Seconds()*1000, found.body)
 	}
 	return ""
 }
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"os/signal"
+	"path"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -70,9 +71,13 @@
 	id   string
 	at   time.Time
 	done time.Time // when it had run; zero: not yet
+	read bool      // otherwise it writes
+	data string    // the piece of data that it reads or writes
+	body string
 }
 
-// target is a storage node. It runs each request for its work time and answers it.
+// target is a storage node. It runs each request for its work time, applies it and answers it: a read with the content
+// that the last write of its piece of data has left.
 type target struct {
 	g        *rig
 	name     string
@@ -82,6 +87,7 @@
 
 	mu       sync.Mutex
 	arrivals []*arrival
+	stored   map[string]string // content by piece of data
 }
 
 // startTargets starts n targets, one a shard, and returns them with their entries in the list.
@@ -97,7 +103,7 @@
 func (g *rig) startTarget(name string, cell int, work time.Duration) *target {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.check(err, "a target")
-	t := &target{g: g, name: name, cell: cell, listener: l, work: work}
+	t := &target{g: g, name: name, cell: cell, listener: l, work: work, stored: map[string]string{}}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -118,13 +124,14 @@
 		in := bufio.NewReader(c)
 		for {
 			r, err := http.ReadRequest(in)
+			body := []byte(nil)
 			if err == nil {
-				_, err = io.Copy(io.Discard, r.Body)
+				body, err = io.ReadAll(r.Body)
 			}
 			if err != nil {
 				return
 			}
-			a := &arrival{id: r.Header.Get("Request-Id"), at: time.Now()}
+			a := &arrival{id: r.Header.Get("Request-Id"), at: time.Now(), read: r.Method == "GET", data: path.Base(r.URL.Path), body: string(body)}
 			t.mu.Lock()
 			t.arrivals = append(t.arrivals, a)
 			t.mu.Unlock()
@@ -136,8 +143,13 @@
 		time.Sleep(t.work)
 		t.mu.Lock()
 		a.done = time.Now()
+		body := "written by " + a.id
+		if a.read {
+			body = t.stored[a.data]
+		} else {
+			t.stored[a.data] = a.body
+		}
 		t.mu.Unlock()
-		body := "for " + a.id
 		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nServer-Load: queue=0\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
 			return
 		}
