Take requests at once after instant repeats; a repeat waits with its place in the order

Cause: the front did not read a connection during the pause after an instant repeat (client.awaitRequest), so that any request on it, of any class, had its place in the order of its reading, not of its arrival.

TestOrderAfterRepeats failed 3 of 3 times on: "later was taken, want earlier".

Change: the front reads at once. Requests that repeat nothing do not wait; a repeat is submitted with the end of its pause (Arrival.NotBefore): logic gives it its place in the order of its key and decides nothing on it before then. A repeat waits at most half of its client's time, but at least 20 ms, so that its answer is in time.

--- a/internal/platform/core/core.go
+++ b/internal/platform/core/core.go
@@ -105,7 +105,7 @@
 	}
 	c.host.AddEvent(logic.Arrival{
 		Request: e.id, Class: r.Class, Cell: r.Cell, Key: r.Block, Volume: r.Volume, Plan: r.Plan,
-		Attached: r.Attached, Units: r.Units, Deadline: e.deadline,
+		Attached: r.Attached, Units: r.Units, Deadline: e.deadline, NotBefore: r.NotBefore,
 	})
 }
 
--- a/internal/platform/core/request.go
+++ b/internal/platform/core/request.go
@@ -16,6 +16,7 @@
 	Volume            logic.VolumeID
 	Attached, Units   float64
 	Timeout           logic.Micros // how long the client waits, from the request's last byte on
+	NotBefore         logic.Micros // as in [logic.Arrival]
 	Front             Front
 
 	entry *entry
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -45,10 +45,9 @@
 	openIDs    map[uint64]struct{} // hashes of the ids of requests that the handler has not answered
 	tally      Tally
 	sweepTimer *time.Timer
-	closing    bool          // no further requests are accepted
-	closed     bool          // no further connections are accepted
-	wakeUp     chan struct{} // closed and replaced when paused connections are to be read again
-	capacity   int           // number of requests last reported to the handler
+	closing    bool // no further requests are accepted
+	closed     bool // no further connections are accepted
+	capacity   int  // number of requests last reported to the handler
 	goroutines sync.WaitGroup
 }
 
@@ -67,7 +66,7 @@
 
 // New returns a front for the clients of listener. [Front.Serve] accepts connections.
 func New(listener net.Listener, settings *RequestSettings, handler RequestHandler, table *seats.Table, shutdown *leave.Shutdown, log *zap.Logger) *Front {
-	f := &Front{listener: listener, settings: settings, handler: handler, seats: table, shutdown: shutdown, log: log, openIDs: map[uint64]struct{}{}, hashSeed: maphash.MakeSeed(), wakeUp: make(chan struct{})}
+	f := &Front{listener: listener, settings: settings, handler: handler, seats: table, shutdown: shutdown, log: log, openIDs: map[uint64]struct{}{}, hashSeed: maphash.MakeSeed()}
 	f.sweepTimer = time.AfterFunc(sweepInterval, f.sweep)
 	f.reportCapacity()
 	return f
@@ -123,8 +122,6 @@
 	f.mu.Lock()
 	f.shutdown.Start(f.handler.Now())
 	f.seats.BeginShutdown()
-	close(f.wakeUp)
-	f.wakeUp = make(chan struct{})
 	connections, deadline := f.seats.Taken(), f.shutdown.Deadline()
 	f.mu.Unlock()
 	f.handler.End(deadline)
@@ -150,8 +147,6 @@
 	f.mu.Lock()
 	f.closing = true
 	f.sweepTimer.Stop()
-	close(f.wakeUp)
-	f.wakeUp = make(chan struct{})
 	for _, s := range f.seats.All() {
 		switch c := s.Owner.(*client); s.State() {
 		case seats.ReadingFirst, seats.ReadingNext:
@@ -235,10 +230,8 @@
 	held             bool // the handler has the request
 	idHash           uint64
 	targetHash       uint64
-	pause            logic.Micros
-	readDelay        logic.Micros // time for which the current request waited to be read
-	closeAfterAnswer bool         // the client asked for it, or sent data after its request
-	disconnected     bool         // the client has closed the connection, or it broke
+	closeAfterAnswer bool // the client asked for it, or sent data after its request
+	disconnected     bool // the client has closed the connection, or it broke
 	outBuf           []byte
 	flushed          chan struct{} // closed once the pending rest of an answer was written; nil: none
 }
@@ -301,28 +294,10 @@
 
 // awaitRequest waits for the first byte of a request. It reports false when the connection has ended.
 func (c *client) awaitRequest(r *http1.Reader) bool {
-	f := c.front
-	f.mu.Lock()
-	pause, wakeUp := c.pause, f.wakeUp
-	c.pause, c.readDelay = 0, 0
-	f.mu.Unlock()
-	if pause > 0 {
-		start := f.handler.Now()
-		timer := time.NewTimer(time.Duration(pause) * time.Microsecond)
-		select {
-		case <-timer.C:
-		case <-wakeUp:
-			timer.Stop()
-		}
-		f.mu.Lock()
-		if r.Buffered() > 0 || c.conn.HasUnread() {
-			c.readDelay = f.handler.Now() - start // the request may have been waiting since the pause began
-		}
-		f.mu.Unlock()
-	}
 	if err := r.Wait(); err != nil {
 		return false
 	}
+	f := c.front
 	f.mu.Lock()
 	c.noteRead() // the bytes may have been read together with earlier ones
 	closed := c.seat.Closing()
@@ -341,7 +316,7 @@
 }
 
 // register admits the current request. It fails with a rejection, or reports that the client has already disconnected,
-// which may happen when the connection was paused or the request is read late.
+// which may happen when the request is read late.
 func (c *client) register(now logic.Micros, closeAfterAnswer bool) (rejection *rejectError, disconnected bool) {
 	f := c.front
 	idHash := maphash.Bytes(f.hashSeed, c.request.ID)
@@ -356,11 +331,11 @@
 	if !ok || f.closing {
 		return &rejectError{503, "ending"}, false
 	}
-	c.request.Timeout = max(min(timeLeft, c.request.Timeout-c.readDelay), 1)
+	c.request.Timeout = timeLeft
 	if _, duplicate := f.openIDs[idHash]; duplicate {
 		return &rejectError{409, "a request with that id is open"}, false
 	}
-	if c.pause, ok = f.seats.Admit(now, c.seat, targetHash); !ok {
+	if c.request.NotBefore, ok = f.seats.Admit(now, c.seat, targetHash, c.request.Timeout); !ok {
 		return &rejectError{503, "no room for another request"}, false
 	}
 	f.openIDs[idHash] = struct{}{}
--- a/internal/platform/front/front_test.go
+++ b/internal/platform/front/front_test.go
@@ -216,8 +216,7 @@
 	}
 }
 
-// A request whose client disconnects before the request was read completely is not taken. This may happen while the
-// connection is paused.
+// A request whose client disconnects before the request was read completely is not taken.
 func TestLeftBeforeItIsRead(t *testing.T) {
 	b := newTestFront(t)
 	u := b.connect()
@@ -298,7 +297,7 @@
 	t.Run("bytes wait", func(t *testing.T) {
 		b := newTestFront(t)
 		u := b.connect()
-		for i, met := 0, false; !met; i++ { // a refused request that is repeated at once pauses its connection
+		for i, met := 0, false; !met; i++ { // until the request arrives before its reader holds the lock
 			u.send(putRequest(fmt.Sprint(i), "x"))
 			r := b.nextTaken()
 			r.Front.Answer(b.Now(), r, core.Answer{Verdict: core.Refused})
@@ -390,6 +389,62 @@
 	b.expectNothingTaken()
 }
 
+// refuseRepeats sends a request and repeats it at once each time it is refused.
+func (b *testFront) refuseRepeats(u *testClient, repeats int) {
+	for i := range 1 + repeats {
+		u.send(putRequest(fmt.Sprint("repeat", i), "x"))
+		r := b.nextTaken()
+		r.Front.Answer(b.Now(), r, core.Answer{Verdict: core.Refused})
+		u.expectAnswer(503)
+	}
+}
+
+// otherRequest returns a request for other data than that of [putRequest].
+func otherRequest(id string) string {
+	return strings.Replace(putRequest(id, "x"), "7f3a9c21e0b4d655", "00000000000000aa", 1)
+}
+
+// Guards against a write that is overtaken by a later one because its connection carried instant repeats before.
+func TestOrderAfterRepeats(t *testing.T) {
+	b := newTestFront(t)
+	first, second, third := b.connect(), b.connect(), b.connect()
+	b.refuseRepeats(first, 6)
+	first.send(otherRequest("earlier"))
+	for range 20 { // the front goes on serving others meanwhile
+		third.send("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+		third.expectAnswer(503)
+	}
+	second.send(otherRequest("later"))
+	for _, want := range []string{"earlier", "later"} {
+		r := b.nextTaken()
+		if string(r.ID) != want {
+			t.Fatalf("%s was taken, want %s", r.ID, want)
+		}
+		if r.NotBefore != 0 {
+			t.Errorf("%s waits, though it repeats nothing", r.ID)
+		}
+		defer b.answerOK(r, "")
+	}
+}
+
+// A repeat that has to wait is taken at once with the time of its wait, so that it has its place in the order and its
+// client's departure is noticed.
+func TestRepeatIsTakenAtOnce(t *testing.T) {
+	b := newTestFront(t)
+	u := b.connect()
+	b.refuseRepeats(u, 3)
+	u.send(putRequest("again", "x"))
+	r := b.nextTaken()
+	if r.NotBefore <= b.Now() || r.NotBefore >= b.Now()+r.Timeout {
+		t.Errorf("nothing is decided before %d us from now, with %d us left", r.NotBefore-b.Now(), r.Timeout)
+	}
+	u.Close()
+	if b.nextGone() != r {
+		t.Error("the departure of the client was not noticed")
+	}
+	b.answerOK(r, "")
+}
+
 // During a shutdown requests are served at first and refused in its last moments, and no request that was or could have
 // been read is cut off without an answer. The test sets the clock for each stage instead of waiting.
 func TestStagesOfTheEnd(t *testing.T) {
@@ -402,7 +457,7 @@
 		u.expectAnswer(200)
 		users[name] = u
 	}
-	// The connection of a client that was refused repeatedly is paused, with its next request unread.
+	// The next repeat of a client that was refused repeatedly waits.
 	u := users["rests"]
 	for i := range 7 {
 		u.send(putRequest(fmt.Sprint("rests", i), "x"))
@@ -417,7 +472,7 @@
 	if by <= b.Now()+3*second || by >= b.Now()+3*second+700_000 {
 		t.Fatalf("the deadline for answers is %d us after Drain", by-b.Now())
 	}
-	u.send(putRequest("rests9", "x")) // read at once, as Drain ends pauses
+	u.send(putRequest("rests9", "x"))
 	b.answerOK(b.nextTaken(), "woken")
 	u.expectAnswer(200)
 	users["early"].send(putRequest("early1", "x"))
--- a/logic/api.go
+++ b/logic/api.go
@@ -163,6 +163,7 @@
 	EarlierAttempts int    // attempts made earlier under other ids, at cells with the same data
 	HomeZoneOnly    bool   // a new object goes only to nodes of this host's zone
 	SingleAttempt   bool   // the caller has an alternative: ended when one attempt fails or the aim cannot be met here
+	NotBefore       Micros // time before which the request only has its place in the order of its key; 0: decided on at once
 }
 
 // StreamStarted reports that an answer has begun to stream: the request no longer has a deadline.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -135,6 +135,7 @@
 			for _, r := range h.requests {
 				r.deadline, r.aimAt = min(r.deadline, e.Deadline), min(r.aimAt, e.Deadline)
 			}
+			h.endPostponements()
 		case CapacityChanged:
 			h.maxUnanswered = max(e.MaxUnanswered, 0)
 		case NodeList:
@@ -146,6 +147,7 @@
 		}
 	}
 	h.expireAbandoned()
+	h.admitPostponed()
 	h.checkOverdue()
 	h.expireHeld()
 	h.releaseKeyQueues()
@@ -170,6 +172,7 @@
 	if h.subscribeAt > 0 {
 		due = min(due, h.subscribeAt)
 	}
+	due = min(due, h.nextPostponed())
 	if due == math.MaxInt64 || h.wakeAt > h.now && h.wakeAt <= due {
 		return
 	}
@@ -219,21 +222,36 @@
 	r.firstAskedAt = askedAt
 	r.aimAt = min(askedAt+r.class.Aim, r.deadline)
 	h.requests[r.id] = r
-	h.unanswered++
 	v.liveRequests++
 	v.lastUsed = h.now
+	h.joinKeyQueue(r)
+	if e.NotBefore > h.now {
+		h.postpone(r, e.NotBefore)
+		return
+	}
+	h.admit(r)
+}
+
+// joinKeyQueue gives a request its place in the order of its key, if its class has one.
+func (h *Host) joinKeyQueue(r *request) {
+	if !r.class.InOrder || r.key == 0 {
+		return
+	}
+	c := h.keyQueues[r.key]
+	if c == nil {
+		c = &keyQueue{}
+		h.keyQueues[r.key] = c
+	}
+	r.keyQueue = c
+	c.requests = append(c.requests, r)
+}
+
+// admit begins to decide on a request.
+func (h *Host) admit(r *request) {
+	h.unanswered++
 	h.setHeld(r, true)
-	if r.class.InOrder && r.key != 0 {
-		c := h.keyQueues[r.key]
-		if c == nil {
-			c = &keyQueue{}
-			h.keyQueues[r.key] = c
-		}
-		r.keyQueue = c
-		c.requests = append(c.requests, r)
-		if c.requests[0] != r || h.now < c.pausedUntil {
-			return
-		}
+	if c := r.keyQueue; c != nil && (c.requests[0] != r || h.now < c.pausedUntil) {
+		return
 	}
 	h.enqueue(r)
 }
@@ -364,7 +382,10 @@
 
 // finish marks a request as finished and drops it once no attempt is in flight.
 func (h *Host) finish(r *request) {
-	if !r.finished {
+	switch {
+	case r.postponed:
+		h.removePostponed(r)
+	case !r.finished:
 		h.unanswered--
 	}
 	r.finished = true
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -871,6 +871,63 @@
 	}
 }
 
+// Guards against a write that waits before it is decided on and is overtaken by a later write of the same key.
+func TestPostponedKeepsItsPlace(t *testing.T) {
+	b := newFixture(t, testSettings(), 3)
+	postponed := b.arrival(2, 0, key(5), func(a *Arrival) { a.NotBefore = b.now + 300*ms })
+	later, other := b.arrival(2, 0, key(5)), b.arrival(2, 0, key(6), cell(1))
+	got := append(sends(b.step(postponed)), sends(b.after(150*ms, later, other))...)
+	if !reflect.DeepEqual(got, []RequestID{other.Request}) {
+		t.Fatalf("sent %v, want %d alone", got, other.Request)
+	}
+	if b.h.unanswered != 2 {
+		t.Errorf("%d requests count as unanswered, want 2", b.h.unanswered)
+	}
+	if got := sends(b.after(150*ms, TimerFired{})); !reflect.DeepEqual(got, []RequestID{postponed.Request}) {
+		t.Fatalf("sent %v at the end of the wait, want %d", got, postponed.Request)
+	}
+	if got := sends(b.after(10*ms, attemptEnded(postponed.Request, 0, 1, OK))); !reflect.DeepEqual(got, []RequestID{later.Request}) {
+		t.Fatalf("sent %v in turn, want %d", got, later.Request)
+	}
+}
+
+// A postponed request that nothing can serve is refused when its time comes, not before. One whose client leaves frees
+// its place, and a shutdown ends the wait.
+func TestPostponementEnds(t *testing.T) {
+	until := func(d Micros) func(*Arrival) { return func(a *Arrival) { a.NotBefore = a.Deadline - 4*sec + d } }
+	b := newFixture(t, testSettings(), 3)
+	unserved := b.arrival(2, 0, cell(77), until(300*ms))
+	if got := b.step(unserved); has(got, Refuse{Request: unserved.Request}) {
+		t.Fatalf("%v before its time", got)
+	}
+	woken := false
+	for _, a := range b.after(299*ms, TimerFired{}) {
+		wake, ok := a.(Wake)
+		woken = woken || ok && wake.After == ms
+	}
+	if !woken {
+		t.Error("no timer is set for the end of the wait")
+	}
+	if got := b.after(ms, TimerFired{}); !slices.ContainsFunc(got, func(a Action) bool { r, ok := a.(Refuse); return ok && r.Request == unserved.Request }) {
+		t.Fatalf("%v at its time, want a refusal", got)
+	}
+
+	left, next := b.arrival(2, 0, key(5), until(300*ms)), b.arrival(2, 0, key(5))
+	b.step(left, next)
+	if got := sends(b.step(ClientGone{left.Request})); !reflect.DeepEqual(got, []RequestID{next.Request}) {
+		t.Fatalf("sent %v after the first client left, want %d", got, next.Request)
+	}
+	if len(b.h.postponed) != 0 || b.h.unanswered != 1 {
+		t.Errorf("%d postponed, %d unanswered; want 0 and 1", len(b.h.postponed), b.h.unanswered)
+	}
+
+	last := b.arrival(2, 0, key(9), cell(1), until(300*ms))
+	b.step(last)
+	if got := sends(b.step(Shutdown{Deadline: b.now + 3*sec})); !reflect.DeepEqual(got, []RequestID{last.Request}) {
+		t.Errorf("sent %v at the shutdown, want %d", got, last.Request)
+	}
+}
+
 func TestBudget(t *testing.T) {
 	s := testSettings()
 	s.Rules.BudgetWindow, s.Rules.BudgetFree, s.Rules.BudgetPerTake = sec, 1, 0
--- a/logic/state.go
+++ b/logic/state.go
@@ -38,7 +38,8 @@
 	unserved          map[signature]Micros // first arrival of unserved requests, until the client repeats them
 	unservedByEnd     []*request           // the same requests in the order in which they ended
 	heldCount         int                  // unanswered requests that wait for an attempt
-	unanswered        int                  // requests that still need a final answer
+	unanswered        int                  // admitted requests that still need a final answer
+	postponed         []*request           // requests that are not admitted yet, in order of arrival
 	maxUnanswered     int                  // upper bound of unanswered; 0: no bound
 	wakeAt            Micros
 	token             uint32
@@ -77,6 +78,7 @@
 	inFlight        int
 	queued          bool // is in a queue of its volume
 	held            bool // unanswered and waiting for an attempt
+	postponed       bool // waits for notBefore and is not admitted yet
 	finished        bool
 	streaming       bool
 	charged         bool // units of the attempts in flight were taken from the limit
--- a/seats/seats.go
+++ b/seats/seats.go
@@ -1,6 +1,6 @@
 // Package seats controls the client connections of a front: which are admitted, which are closed because there are too
-// many or because they are too slow, how many bytes their bodies may occupy together, and how soon the front reads
-// again from a client that repeats a refused request at once. It has no clock, goroutine or I/O.
+// many or because they are too slow, how many bytes their bodies may occupy together, and how long a request waits that
+// repeats a refused one at once. It has no clock, goroutine or I/O.
 //
 // It guards against crowds of silent connections, request heads that never end, and clients that repeat a refused
 // request without a pause. Harm: a client that needs seconds between connecting and sending its request is closed.
@@ -42,10 +42,13 @@
 	// After an answer that closes the connection, the client has lingerTimeout to read it.
 	lingerTimeout = 200 * ms
 	// A request equal to one that was refused on the same connection less than instantRepeatWindow ago is an instant
-	// repeat. After its answer the front does not read from the connection for a pause, which doubles with each repeat
-	// from minReadPause to maxReadPause.
-	instantRepeatWindow        = 20 * ms
-	minReadPause, maxReadPause = 20 * ms, 640 * ms
+	// repeat. If it is refused as well, the next repeat is not decided on before a pause is over, which doubles with each
+	// repeat from minRepeatPause to maxRepeatPause. Other requests on the connection do not wait.
+	instantRepeatWindow            = 20 * ms
+	minRepeatPause, maxRepeatPause = 20 * ms, 640 * ms
+	// A repeat waits for at most maxPauseShare of the time that its client waits, but never for less than minRepeatPause:
+	// a later refusal leaves the client no time for anything else.
+	maxPauseShare = 0.5
 )
 
 // State is the phase a client connection is in.
@@ -72,10 +75,10 @@
 	bodyBytes  int
 	requests   int // requests admitted on it
 
-	resumed logic.Micros // when reading resumed after the last refusal; 0: no refusal yet
-	key     uint64       // key of the request last refused
-	pause   logic.Micros // pause in reading after the answer to the current request
-	repeats int
+	pausedUntil logic.Micros // end of the pause after the last refusal; 0: no refusal yet
+	refusedKey  uint64       // key of the request last refused
+	repeating   bool         // the current request is an instant repeat
+	repeats     int          // instant repeats that were refused in a row
 }
 
 // Limits bounds a Table.
@@ -97,8 +100,8 @@
 
 // Tally counts the decisions of a Table.
 type Tally struct {
-	Taken, Turned, Displaced, Overdue, Rested uint64
-	Most                                      int // maximum number of seats taken at once
+	Taken, Turned, Displaced, Overdue, Postponed uint64
+	Most                                         int // maximum number of seats taken at once
 }
 
 type list struct {
@@ -255,31 +258,46 @@
 	return nil
 }
 
-// Refused records that a request was refused; key identifies equal requests.
-func (t *Table) Refused(now logic.Micros, s *Seat, key uint64) { s.resumed, s.key = now+s.pause, key }
+// Refused records that the current request of a connection was refused; key identifies equal requests.
+func (t *Table) Refused(now logic.Micros, s *Seat, key uint64) {
+	s.refusedKey = key
+	switch {
+	case s.repeating:
+		s.pausedUntil = now + t.repeatPause(s)
+		s.repeats++
+	case now >= s.pausedUntil: // otherwise the pause goes on, for this request
+		s.pausedUntil, s.repeats = now, 0
+	}
+}
+
+// repeatPause returns the pause after the refusal of an instant repeat.
+func (t *Table) repeatPause(s *Seat) logic.Micros {
+	if t.shuttingDown {
+		return minRepeatPause // little time is left for an answer
+	}
+	return min(minRepeatPause<<min(s.repeats, 10), maxRepeatPause)
+}
 
-// Admit decides whether a complete request is admitted, and for how long the connection is not read after the answer.
-func (t *Table) Admit(now logic.Micros, s *Seat, key uint64) (readPause logic.Micros, admitted bool) {
+// Admit decides whether a complete request is admitted. Nothing is to be decided on it before notBefore, unless that is
+// 0; timeout is the time for which its client waits.
+func (t *Table) Admit(now logic.Micros, s *Seat, key uint64, timeout logic.Micros) (notBefore logic.Micros, admitted bool) {
 	if s.Closing() || t.limits.Open > 0 && t.lists[Serving].length >= t.limits.Open {
 		return 0, false
 	}
-	readPause = t.pauseFor(now, s, key)
+	notBefore = t.postponement(now, s, key, timeout)
 	t.SetState(now, s, Serving)
-	return readPause, true
+	return notBefore, true
 }
 
-func (t *Table) pauseFor(now logic.Micros, s *Seat, key uint64) (pause logic.Micros) {
-	if s.resumed == 0 || s.key != key || now-s.resumed > instantRepeatWindow {
-		s.pause, s.repeats = 0, 0
+// postponement returns the time before which nothing is to be decided on a request; 0: it does not wait.
+func (t *Table) postponement(now logic.Micros, s *Seat, key uint64, timeout logic.Micros) logic.Micros {
+	s.repeating = s.pausedUntil > 0 && s.refusedKey == key && now-s.pausedUntil <= instantRepeatWindow
+	if !s.repeating || now >= s.pausedUntil {
 		return 0
 	}
-	s.pause = min(minReadPause<<min(s.repeats, 10), maxReadPause)
-	if t.shuttingDown {
-		s.pause = minReadPause // a request that has not been read when the process exits is lost
-	}
-	s.repeats++
-	t.Tally.Rested++
-	return s.pause
+	t.Tally.Postponed++
+	longest := max(logic.Micros(maxPauseShare*float64(timeout)), minRepeatPause)
+	return min(s.pausedUntil, now+longest)
 }
 
 func (t *Table) push(s *Seat) {
--- a/seats/seats_test.go
+++ b/seats/seats_test.go
@@ -70,17 +70,17 @@
 	var all []*Seat
 	for i := range 4 {
 		s, _ := table.Accept(0, nil)
-		if _, ok := table.Admit(0, s, 1); ok != (i < 2) {
+		if _, ok := table.Admit(0, s, 1, sec); ok != (i < 2) {
 			t.Fatalf("request %d: %v", i, ok)
 		}
 		all = append(all, s)
 	}
 	table.SetState(0, all[0], Idle)
-	if _, ok := table.Admit(0, all[2], 1); !ok {
+	if _, ok := table.Admit(0, all[2], 1, sec); !ok {
 		t.Fatal("rejected though one request was answered")
 	}
 	table.Release(all[3])
-	if _, ok := table.Admit(0, all[3], 1); ok {
+	if _, ok := table.Admit(0, all[3], 1, sec); ok {
 		t.Fatal("admitted on a released seat")
 	}
 }
@@ -89,7 +89,7 @@
 func TestSlowReaders(t *testing.T) {
 	table := New(Limits{Seats: 1})
 	s, _ := table.Accept(0, nil)
-	table.Admit(0, s, 1)
+	table.Admit(0, s, 1, sec)
 	table.SetState(sec, s, Sending)
 	if got, _ := table.Accept(2*sec, nil); got != nil || table.Busy() != 1 || table.Overdue(sec+sendTimeout-1) != nil {
 		t.Fatal("evicted or overdue while it still reads its answer")
@@ -210,27 +210,77 @@
 func TestInstantRepeats(t *testing.T) {
 	table := New(Limits{Seats: 10, Bodies: 100})
 	s, _ := table.Accept(0, nil)
-	if table.pauseFor(0, s, 7) != 0 {
-		t.Fatal("a pause after the first request")
+	const timeout = 10 * sec
+	admit := func(now logic.Micros, key uint64) logic.Micros {
+		t.Helper()
+		notBefore, ok := table.Admit(now, s, key, timeout)
+		if !ok {
+			t.Fatal("not admitted")
+		}
+		return notBefore
+	}
+	refuse := func(now logic.Micros, key uint64) {
+		table.Refused(now, s, key)
+		table.SetState(now, s, Idle)
+	}
+	if admit(10, 7) != 0 {
+		t.Fatal("a pause for the first request")
 	}
-	table.Refused(10, s, 7)
+	refuse(10, 7)
 	now := logic.Micros(10 + ms)
-	want := minReadPause
+	if admit(now, 7) != 0 {
+		t.Fatal("a pause for the first repeat")
+	}
+	want := minRepeatPause
 	for range 20 {
-		rest := table.pauseFor(now, s, 7)
-		if rest != want {
-			t.Fatalf("pause %d, want %d", rest, want)
+		refuse(now, 7)
+		now += ms // the repeat follows at once
+		notBefore := admit(now, 7)
+		if pause := notBefore - (now - ms); pause != want {
+			t.Fatalf("pause %d, want %d", pause, want)
 		}
-		table.Refused(now, s, 7)
-		now += rest + ms // the front reads again, and the repeat follows at once
-		want = min(2*want, maxReadPause)
+		now = notBefore
+		want = min(2*want, maxRepeatPause)
+	}
+	refuse(now, 7)
+	if admit(now, 8) != 0 {
+		t.Fatal("a pause for a different request")
 	}
-	if table.pauseFor(now+instantRepeatWindow, s, 7) != 0 {
+	table.SetState(now, s, Idle) // served
+	pausedUntil := admit(now+ms, 7)
+	if pausedUntil != now+maxRepeatPause {
+		t.Fatal("the pause ends with another request that is served")
+	}
+	refuse(pausedUntil, 7)
+	now = pausedUntil + ms
+	admit(now, 8)
+	refuse(now, 8)
+	if got := admit(now, 8); got != pausedUntil+maxRepeatPause {
+		t.Fatalf("a request that is refused during the pause and repeated waits until %d, want %d", got, pausedUntil+maxRepeatPause)
+	}
+	refuse(pausedUntil+maxRepeatPause, 8)
+	now = pausedUntil + 2*maxRepeatPause + instantRepeatWindow + 1
+	if admit(now, 8) != 0 {
 		t.Fatal("a pause for a repeat that waited")
 	}
-	table.Refused(now, s, 7)
-	if table.pauseFor(now, s, 8) != 0 {
-		t.Fatal("a pause for a different request")
+}
+
+// A repeat whose client does not wait for long is decided on in time for its answer, but still after a pause.
+func TestPauseLeavesTimeToAnswer(t *testing.T) {
+	for timeout, want := range map[logic.Micros]logic.Micros{sec: sec / 2, 100 * ms: 50 * ms, 10 * ms: minRepeatPause, 1: minRepeatPause} {
+		table := New(Limits{Seats: 10, Bodies: 100})
+		s, _ := table.Accept(0, nil)
+		now, pause := logic.Micros(10), logic.Micros(0)
+		for range 10 {
+			notBefore, _ := table.Admit(now, s, 7, timeout)
+			pause = notBefore - now
+			now = max(now, notBefore)
+			table.Refused(now, s, 7)
+			table.SetState(now, s, Idle)
+		}
+		if pause != want {
+			t.Errorf("timeout %d: pause %d, want %d", timeout, pause, want)
+		}
 	}
 }
 
@@ -295,14 +345,14 @@
 		s, _ := table.Accept(0, i)
 		switch {
 		case i < 8:
-			table.Admit(0, s, 1) // open
+			table.Admit(0, s, 1, sec) // open
 		case i < 20: // have carried two requests
-			table.Admit(0, s, 1)
+			table.Admit(0, s, 1, sec)
 			table.SetState(0, s, Idle)
-			table.Admit(0, s, 1)
+			table.Admit(0, s, 1, sec)
 			table.SetState(0, s, Idle)
 		case i < 30: // have carried one request
-			table.Admit(0, s, 1)
+			table.Admit(0, s, 1, sec)
 			table.SetState(0, s, Idle)
 		}
 	}
