Read what has arrived before a late step decides on what became due

After a hold-up the timer's step ran in any order with the reading of connections, so it sent what had become due before the end of the clients' connections was read.

--- a/internal/drive/loop.go
+++ b/internal/drive/loop.go
@@ -15,6 +15,7 @@
 	now         func() logic.Micros
 	step        func(now logic.Micros, in []T) (next logic.Micros)
 	minInterval logic.Micros
+	catchUp     func()
 
 	mu         sync.Mutex // guards the core; held during a step, which never blocks on a peer
 	timer      *time.Timer
@@ -55,6 +56,11 @@
 	return l
 }
 
+// SetCatchUp sets a function that is called before each late step. It queues inputs that have happened but were not posted
+// yet: after the process stood still, a timer may run before the goroutines that post them. The function must not run
+// steps. It is set before the first input.
+func (l *Loop[T]) SetCatchUp(f func()) { l.catchUp = f }
+
 // Enqueue queues an input. The caller calls RunPending afterwards.
 func (l *Loop[T]) Enqueue(in T) {
 	l.queueMu.Lock()
@@ -125,15 +131,8 @@
 func (l *Loop[T]) runSteps() {
 	for {
 		now := l.now()
-		if l.stepDue.Swap(false) && l.timerDueAt > 0 {
-			late := int64(now - l.timerDueAt)
-			if late > lateThreshold {
-				l.LateSteps.Add(1)
-			}
-			if late > l.MaxDelay.Load() {
-				l.MaxDelay.Store(late)
-			}
-			l.timerDueAt = 0
+		if l.noteDelay(now) && l.catchUp != nil {
+			l.catchUp()
 		}
 		l.queueMu.Lock()
 		l.queue, l.batch = l.batch[:0], l.queue
@@ -152,6 +151,26 @@
 	}
 }
 
+// noteDelay records how late a step begins, and reports whether it is late.
+func (l *Loop[T]) noteDelay(now logic.Micros) bool {
+	due := l.timerDueAt
+	if l.stepDue.Swap(false) {
+		l.timerDueAt = 0
+	}
+	if due == 0 || now <= due {
+		return false
+	}
+	delay := int64(now - due)
+	if delay > l.MaxDelay.Load() {
+		l.MaxDelay.Store(delay)
+	}
+	if delay <= lateThreshold {
+		return false
+	}
+	l.LateSteps.Add(1)
+	return true
+}
+
 func (l *Loop[T]) hasInput() bool {
 	l.queueMu.Lock()
 	defer l.queueMu.Unlock()
--- a/internal/drive/loop_test.go
+++ b/internal/drive/loop_test.go
@@ -1,6 +1,7 @@
 package drive
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -110,3 +111,38 @@
 		t.Errorf("%d steps late, by at most %d us; want at least one, by 20 ms or more", n, by)
 	}
 }
+
+// Guards against a step that was held up and decides on what became due before it hears of what has happened meanwhile.
+func TestLateStepCatchesUp(t *testing.T) {
+	const due, input = 5_000, 7
+	now, dueAt := newClock(), logic.Micros(0)
+	late := make(chan []int, 1)
+	l := NewLoop(now, 0, func(now logic.Micros, in []int) logic.Micros {
+		switch {
+		case dueAt == 0:
+			dueAt = now + due
+		case now >= dueAt && len(late) == 0:
+			late <- slices.Clone(in)
+			return 0
+		}
+		return dueAt
+	})
+	defer l.Close()
+	caughtUp := false
+	l.SetCatchUp(func() {
+		if !caughtUp {
+			caughtUp = true
+			l.Enqueue(input)
+		}
+	})
+	l.Post(1)
+	l.WithLock(func(logic.Micros) { time.Sleep((due + 10*lateThreshold) * time.Microsecond) }) // the step is held up
+	select {
+	case in := <-late:
+		if !slices.Contains(in, input) {
+			t.Errorf("the late step processed %v, want the input that it caught up with", in)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the timer did not run a step")
+	}
+}
--- a/internal/platform/core/shell.go
+++ b/internal/platform/core/shell.go
@@ -63,6 +63,10 @@
 // Now returns the time of the shell's clock.
 func (s *Shell) Now() logic.Micros { return s.start + logic.Micros(time.Since(s.epoch).Microseconds()) }
 
+// SetCatchUp sets a function that queues what has arrived at the front. It is called before a late step, so that the core
+// decides on nothing before it has heard of it. It is set before any input.
+func (s *Shell) SetCatchUp(f func()) { s.loop.SetCatchUp(f) }
+
 // Take queues a request. Its front receives exactly one answer.
 func (s *Shell) Take(r *Request) { s.loop.Enqueue(input{kind: inputRequest, request: r}) }
 
--- a/internal/platform/front/arrivals.go
+++ b/internal/platform/front/arrivals.go
@@ -87,6 +87,14 @@
 	}
 }
 
+// ReadArrived reads all that has arrived and queues it at the handler, which the caller lets process it.
+func (f *Front) ReadArrived() {
+	a := f.arrivals
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.runRound(a.poller.Poll())
+}
+
 // flushed goes on with a connection whose answer was written.
 func (a *arrivals) flushed(c *client) {
 	a.mu.Lock()
--- a/internal/platform/front/arrivals_test.go
+++ b/internal/platform/front/arrivals_test.go
@@ -145,3 +145,24 @@
 		t.Error("known without an arrival time")
 	}
 }
+
+// ReadArrived has queued all that had arrived when it returns: requests, and the departure of clients.
+func TestReadArrived(t *testing.T) {
+	b := newTestFront(t)
+	u := b.served(3)
+	u[0].send(otherRequest("held"))
+	held := b.nextTaken()
+	b.hold(func() { // keeps the front from reading by itself
+		u[1].send(otherRequest("more"))
+		u[0].Close()
+		u[2].send(otherRequest("last"))
+		a := b.front.arrivals
+		a.runRound(a.poller.Poll()) // as ReadArrived, with the lock
+		if len(b.departed) != 1 || len(b.taken) != 2 {
+			t.Errorf("%d departures and %d requests are queued, want 1 and 2", len(b.departed), len(b.taken))
+		}
+	})
+	b.front.ReadArrived()
+	b.answerOK(held, "")
+	b.expectOrder("more", "last")
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -104,6 +104,7 @@
 		listener.Close()
 		return nil, err
 	}
+	in.shell.SetCatchUp(in.front.ReadArrived)
 	in.watch = discovery.New(cfg.Known, s.Zones, in.shell, in.front.SetReady, log)
 	in.watch.SetAddress(cfg.Discovery)
 	time.AfterFunc(discoveryTimeout, in.front.SetReady)
--- a/internal/platform/stop_test.go
+++ b/internal/platform/stop_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // orderedSettingsJSON is settingsJSON with the class "save" ordered by key.
@@ -38,16 +39,16 @@
 	}
 }
 
-// startStoppable starts an initiator in a process of its own, with one target and ordered writes.
-func startStoppable(t *testing.T) (*process, *standInTarget) {
+// startStoppable starts an initiator in a process of its own, with one target.
+func startStoppable(t *testing.T, settings string) (*process, *standInTarget) {
 	target := newTarget(t, "s-1", nil)
 	discovery := newDiscovery(t, listJSON(1, true, target.entry("in_service", 0)))
-	return startProcess(t, discovery.listener.Addr().String(), orderedSettingsJSON), target
+	return startProcess(t, discovery.listener.Addr().String(), settings), target
 }
 
 // Guards against writes of the same data that run in another order than they were taken while the process stood still.
 func TestOrderAfterStop(t *testing.T) {
-	p, target := startStoppable(t)
+	p, target := startStoppable(t, orderedSettingsJSON)
 	var clients []*clientConn
 	for range 5 {
 		client := p.dial()
@@ -74,3 +75,52 @@
 		}
 	}
 }
+
+// limitedSettingsJSON is settingsJSON with a limit of the plan "thin" under which a request waits for 250 ms at most, and
+// with more time for the class "save".
+var limitedSettingsJSON = strings.NewReplacer(`"neverOver":1,"limitBurst":2`, `"neverOver":4,"limitBurst":4`,
+	`"name":"save","aimUs":300000`, `"name":"save","aimUs":1200000`).Replace(settingsJSON)
+
+// Guards against a request that waited for its plan's limit and is sent although its client left while the process stood
+// still.
+func TestNothingIsSentAfterStopForWhoLeft(t *testing.T) {
+	p, target := startStoppable(t, limitedSettingsJSON)
+	other := p.dial()
+	for round := range 3 {
+		id, client := p.waitingRequest(target, other, fmt.Sprint(round))
+		p.stop()
+		client.conn.Close()
+		time.Sleep(400 * time.Millisecond) // the request becomes due meanwhile
+		p.resume()
+		for range 5 {
+			p.mustServe(other, "save")
+		}
+		if slices.Contains(target.received(), id) {
+			t.Fatalf("round %d: the request was sent after its client had left", round)
+		}
+	}
+}
+
+// answered reports whether an answer has begun to arrive. The connection is not used afterwards.
+func (p *clientConn) answered() bool {
+	p.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	n, _ := p.conn.Read(make([]byte, 1))
+	return n > 0
+}
+
+// waitingRequest sends requests on a volume with a limit until one has to wait, and returns its id and client.
+func (p *process) waitingRequest(target *standInTarget, other *clientConn, name string) (string, *clientConn) {
+	p.Helper()
+	for range 50 {
+		id, client := newID(), p.dial()
+		io.WriteString(client.conn, putRequest(id, "save", "data", "X-Storage-Class: thin", "X-Extent: volume=000000000000000a,units=1,shard=0,hosts=1"))
+		for range 5 { // by then it was sent unless it waits
+			p.mustServe(other, "save")
+		}
+		if !slices.Contains(target.received(), id) && !client.answered() {
+			return id, client
+		}
+	}
+	p.Fatalf("%s: no request waits", name)
+	return "", nil
+}
