Read what has arrived before connections are closed as overdue

Evidence: TestOverdueAfterHoldUp failed in both parts, 2 of 2 times, before the change ("no request was taken").

--- a/internal/platform/front/arrivals_test.go
+++ b/internal/platform/front/arrivals_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"appleplank/seats"
 )
 
 // hold keeps the front from reading, as if the process stood still, while f runs.
@@ -166,3 +168,35 @@
 	b.answerOK(held, "")
 	b.expectOrder("more", "last")
 }
+
+// Guards against a connection that is closed as overdue after a hold-up although its request has arrived meanwhile.
+func TestOverdueAfterHoldUp(t *testing.T) {
+	for name, sent := range map[string]int{"first request": 0, "in pieces": 50} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestFront(t)
+			u := b.connect()
+			text := putRequest("1", "x")
+			u.send(text[:sent])
+			b.waitUntil("the beginning is read", func() bool {
+				all := b.front.seats.All()
+				return len(all) == 1 && (sent == 0 || all[0].State() == seats.ReadingFirst)
+			})
+			swept := make(chan struct{})
+			b.hold(func() {
+				b.advance(3 * second)
+				u.send(text[sent:])
+				go func() {
+					b.front.sweep()
+					close(swept)
+				}()
+				select {
+				case <-swept: // the sweep did not wait for the reader
+				case <-time.After(100 * time.Millisecond):
+				}
+			})
+			<-swept
+			b.answerOK(b.nextTaken(), "yes")
+			u.expectAnswer(200)
+		})
+	}
+}
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -146,6 +146,8 @@
 }
 
 func (f *Front) sweep() {
+	f.ReadArrived() // whose time is up depends on what has arrived
+	f.handler.Process()
 	f.mu.Lock()
 	if f.closing {
 		f.mu.Unlock()
