Count a request's time from its arrival, not from its reading

Change: the front tells how long ago the last byte arrived (Request.Waited), where the kernel's time of it is known and the wall clock was not set meanwhile.

--- a/internal/platform/core/core.go
+++ b/internal/platform/core/core.go
@@ -92,7 +92,7 @@
 func (c *Core) Submit(now logic.Micros, r *Request) {
 	c.lastID++
 	e := c.newEntry()
-	*e = entry{id: c.lastID, request: r, volume: r.Volume, units: r.Units, deadline: now + r.Timeout, outstanding: e.outstanding[:0]}
+	*e = entry{id: c.lastID, request: r, volume: r.Volume, units: r.Units, deadline: now + max(r.Timeout-r.Waited, 1), outstanding: e.outstanding[:0]}
 	if c.shutdownDeadline > 0 {
 		e.deadline = min(e.deadline, c.shutdownDeadline)
 	}
--- a/internal/platform/core/request.go
+++ b/internal/platform/core/request.go
@@ -16,6 +16,7 @@
 	Volume            logic.VolumeID
 	Attached, Units   float64
 	Timeout           logic.Micros // how long the client waits, from the request's last byte on
+	Waited            logic.Micros // how long ago the last byte arrived when the request was submitted
 	NotBefore         logic.Micros // as in [logic.Arrival]
 	Front             Front
 
--- a/internal/platform/front/arrivals.go
+++ b/internal/platform/front/arrivals.go
@@ -167,7 +167,7 @@
 	allKnown := true
 	for _, c := range a.passing {
 		known := false
-		_, known = a.clock.waited(now, c.turns.arrived)
+		c.turns.waited, known = a.clock.waited(now, c.turns.arrived)
 		allKnown = allKnown && known
 	}
 	if allKnown { // otherwise in the order in which the connections became ready
@@ -263,9 +263,10 @@
 	next     func() (turnReason, bool)
 	yield    func(turnReason) bool
 	waitsFor turnReason
-	readable bool      // data may be unread
-	ended    bool      // the end of the stream may be unread
-	arrived  time.Time // of the data read last, on the kernel's wall clock; zero: unknown
+	readable bool         // data may be unread
+	ended    bool         // the end of the stream may be unread
+	arrived  time.Time    // of the data read last, on the kernel's wall clock; zero: unknown
+	waited   logic.Micros // how long ago the last byte of the current request arrived
 }
 
 // start makes serve a coroutine. It runs when it is resumed.
--- a/internal/platform/front/arrivals_test.go
+++ b/internal/platform/front/arrivals_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"appleplank/logic"
 	"appleplank/seats"
 )
 
@@ -200,3 +201,19 @@
 		})
 	}
 }
+
+// Guards against a request whose time is counted from its reading although it arrived earlier.
+func TestTimeCountsFromArrival(t *testing.T) {
+	b := newTestFront(t)
+	u := b.served(1)
+	const holdUp = 60 * time.Millisecond
+	b.hold(func() {
+		u[0].send(otherRequest("1"))
+		time.Sleep(holdUp)
+	})
+	r := b.nextTaken()
+	if r.Waited < logic.Micros((holdUp - clockTolerance).Microseconds()) {
+		t.Errorf("the request waited for %d us, want at least %v", r.Waited, holdUp)
+	}
+	b.answerOK(r, "")
+}
--- a/internal/platform/front/client.go
+++ b/internal/platform/front/client.go
@@ -159,7 +159,7 @@
 	if !ok || f.closing {
 		return &rejectError{503, "ending"}, false
 	}
-	c.request.Timeout = timeLeft
+	c.request.Timeout, c.request.Waited = timeLeft, c.turns.waited
 	if _, duplicate := f.openIDs[idHash]; duplicate {
 		return &rejectError{409, "a request with that id is open"}, false
 	}
--- a/internal/platform/stop_test.go
+++ b/internal/platform/stop_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"appleplank/internal/http1"
 )
 
 // orderedSettingsJSON is settingsJSON with the class "save" ordered by key.
@@ -124,3 +126,30 @@
 	p.Fatalf("%s: no request waits", name)
 	return "", nil
 }
+
+// Guards against a request that is given the time of the stop once more: its client's time runs from its arrival.
+func TestTimeRunsDuringStop(t *testing.T) {
+	timeouts := make(chan string, 10)
+	target := newTarget(t, "s-1", func(_ int, m *http1.Message) (string, bool) {
+		timeouts <- string(m.Get("request-timeout"))
+		return okAnswer(m), false
+	})
+	discovery := newDiscovery(t, listJSON(1, true, target.entry("in_service", 0)))
+	p := startProcess(t, discovery.listener.Addr().String(), settingsJSON)
+	client := p.dial()
+	p.mustServe(client, "look")
+	<-timeouts
+	const timeout, stopped, tolerance = 1500 * time.Millisecond, 300 * time.Millisecond, 10 * time.Millisecond
+	p.stop()
+	io.WriteString(client.conn, putRequest(newID(), "look", "data"))
+	time.Sleep(stopped)
+	p.resume()
+	if status, _ := client.readAnswer(); status != 200 {
+		t.Fatalf("status %d", status)
+	}
+	header := <-timeouts
+	left, err := time.ParseDuration(header + "s") // such as 900000u
+	if err != nil || left > timeout-stopped+tolerance {
+		t.Errorf("the target is given %q, %v; want at most what the client has left, %v", header, err, timeout-stopped)
+	}
+}
