Apply what discovery has told before requests that were read late are decided on

Change: before a late step, and before requests that waited for over 5 ms to be read, the core waits until the watch has queued what has arrived, for 50 ms at most. The watch queues a list before it has it processed.

--- a/internal/platform/core/shell.go
+++ b/internal/platform/core/shell.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"sync/atomic"
 	"time"
 
 	"appleplank/internal/drive"
@@ -19,6 +20,9 @@
 	loop  *drive.Loop[input]
 	epoch time.Time    // when the shell was made, on the monotonic clock
 	start logic.Micros // the time of the machine at epoch
+
+	catchUp func()
+	heldUp  atomic.Bool // a request was read late, and catchUp has not been called since
 }
 
 type inputKind uint8
@@ -63,19 +67,36 @@
 // Now returns the time of the shell's clock.
 func (s *Shell) Now() logic.Micros { return s.start + logic.Micros(time.Since(s.epoch).Microseconds()) }
 
-// SetCatchUp sets a function that queues what has arrived at the front. It is called before a late step, so that the core
-// decides on nothing before it has heard of it. It is set before any input.
-func (s *Shell) SetCatchUp(f func()) { s.loop.SetCatchUp(f) }
+// SetCatchUp sets a function that queues what has arrived. It is called before a late step and before requests that were
+// read late are processed, so that the core decides on nothing before it has heard of it. It is set before any input.
+func (s *Shell) SetCatchUp(f func()) {
+	s.catchUp = f
+	s.loop.SetCatchUp(f)
+}
+
+// lateArrival is the age above which a request shows that the process stood still.
+const lateArrival logic.Micros = 5000
 
 // Take queues a request. Its front receives exactly one answer.
-func (s *Shell) Take(r *Request) { s.loop.Enqueue(input{kind: inputRequest, request: r}) }
+func (s *Shell) Take(r *Request) {
+	if r.Waited > lateArrival {
+		s.heldUp.Store(true)
+	}
+	s.loop.Enqueue(input{kind: inputRequest, request: r})
+}
 
 // Gone queues the report that the client of a request has left. The front still receives an answer: Failed, or the final
 // answer if that was given before.
 func (s *Shell) Gone(r *Request) { s.loop.Enqueue(input{kind: inputClientGone, request: r}) }
 
 // Process processes what is queued, or leaves it to the goroutine that is processing already.
-func (s *Shell) Process() { s.loop.RunPending() }
+func (s *Shell) Process() {
+	if s.heldUp.Load() && s.catchUp != nil {
+		s.catchUp()
+		s.heldUp.Store(false)
+	}
+	s.loop.RunPending()
+}
 
 // Room sets the number n of requests that may be held at once.
 func (s *Shell) Room(n int) { s.loop.Post(input{kind: inputCapacity, capacity: n}) }
@@ -88,9 +109,9 @@
 	s.loop.Post(input{kind: inputAttemptEnded, attempt: a, result: res})
 }
 
-// UpdateTargets reports changed targets, and the list of all of them.
+// UpdateTargets queues changed targets, and the list of all of them.
 func (s *Shell) UpdateTargets(changed []logic.Node, all []members.Target) {
-	s.loop.Post(input{kind: inputNodes, changed: changed, endpoints: Endpoints(all)})
+	s.loop.Enqueue(input{kind: inputNodes, changed: changed, endpoints: Endpoints(all)})
 }
 
 // Steps counts the steps of a shell.
--- /dev/null
+++ b/internal/platform/discovery/catchup.go
@@ -0,0 +1,68 @@
+package discovery
+
+import (
+	"sync"
+	"time"
+
+	"appleplank/internal/sock"
+)
+
+// maxCatchUp bounds the time for which [Watch.ReadArrived] waits.
+const maxCatchUp = 50 * time.Millisecond
+
+// ReadArrived waits until what has arrived from discovery is queued at the sink. After the process stood still, decisions
+// would otherwise be taken with a list that is out of date although the new one has arrived. The wait takes at most
+// maxCatchUp.
+func (w *Watch) ReadArrived() {
+	if r := w.current.Load(); r != nil {
+		r.awaitRead()
+	}
+}
+
+// watchReader reads from the connection of a watch and tells whether all that has arrived was read and applied.
+type watchReader struct {
+	conn *sock.Conn
+
+	mu         sync.Mutex
+	changed    *sync.Cond
+	waiting    bool // the reader waits for data
+	processing bool // what was read is queued at the sink, which processes it
+	ended      bool
+}
+
+func newWatchReader(conn *sock.Conn) *watchReader {
+	r := &watchReader{conn: conn}
+	r.changed = sync.NewCond(&r.mu)
+	// Data leaves the socket under the lock, so that it counts as unread or as being read, never as neither.
+	conn.GuardReads(&r.mu, func() { r.waiting = false })
+	return r
+}
+
+// Read implements [io.Reader].
+func (r *watchReader) Read(p []byte) (int, error) {
+	r.set(&r.waiting, true)
+	return r.conn.Read(p)
+}
+
+// end records that nothing more is read.
+func (r *watchReader) end() { r.set(&r.ended, true) }
+
+func (r *watchReader) set(field *bool, value bool) {
+	r.mu.Lock()
+	*field = value
+	r.mu.Unlock()
+	r.changed.Broadcast()
+}
+
+// awaitRead returns when nothing that has arrived is unread, or maxCatchUp has passed. It does not wait while the sink
+// processes, as the sink may be the caller.
+func (r *watchReader) awaitRead() {
+	expired := false
+	timer := time.AfterFunc(maxCatchUp, func() { r.set(&expired, true) })
+	defer timer.Stop()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for !expired && !r.ended && !r.processing && !(r.waiting && !r.conn.HasUnread()) {
+		r.changed.Wait()
+	}
+}
--- a/internal/platform/discovery/discovery.go
+++ b/internal/platform/discovery/discovery.go
@@ -11,10 +11,12 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"appleplank/internal/http1"
 	"appleplank/internal/platform/config"
+	"appleplank/internal/sock"
 	"appleplank/logic"
 	"appleplank/members"
 
@@ -29,7 +31,9 @@
 // Sink receives the targets.
 type Sink interface {
 	Now() logic.Micros
+	// UpdateTargets only queues what it is told; Process processes it.
 	UpdateTargets(changed []logic.Node, all []members.Target)
+	Process()
 }
 
 // Watch keeps the sink informed of the targets that discovery lists.
@@ -47,6 +51,7 @@
 	running       sync.WaitGroup
 	ctx           context.Context
 	stop          context.CancelFunc
+	current       atomic.Pointer[watchReader] // of the watch that was begun last; nil: none
 }
 
 // New returns a watch that starts from a known list and passes it to the sink. It calls onFirstNews once, when
@@ -57,6 +62,7 @@
 	follow, nodes := members.NewFollower(sink.Now(), known)
 	w.follow = follow
 	sink.UpdateTargets(nodes, follow.Targets())
+	sink.Process()
 	return w
 }
 
@@ -120,18 +126,27 @@
 	if whole {
 		target = membersPath
 	}
-	conn, err := (&net.Dialer{Timeout: w.remainingSilence(started, 0)}).DialContext(ctx, "tcp", address)
+	raw, err := (&net.Dialer{Timeout: w.remainingSilence(started, 0)}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
+	conn, err := sock.New(raw.(*net.TCPConn))
+	if err != nil {
+		raw.Close()
+		return err
+	}
 	defer conn.Close()
+	reader := newWatchReader(conn)
+	w.current.Store(reader)
+	defer w.current.CompareAndSwap(reader, nil)
+	defer reader.end()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	conn.SetDeadline(time.Now().Add(w.remainingSilence(started, 0)))
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, address); err != nil {
 		return err
 	}
-	r := http1.NewReader(conn)
+	r := http1.NewReader(reader)
 	var m http1.Message
 	if err := r.ReadAnswerHead(&m); err != nil {
 		return err
@@ -150,6 +165,9 @@
 			if err := w.applyList(list, use, first); err != nil {
 				return err
 			}
+			reader.set(&reader.processing, true)
+			w.sink.Process()
+			reader.set(&reader.processing, false)
 			first = false
 		} else if whole {
 			continue // blanks before the whole list
@@ -213,7 +231,7 @@
 	return micros(max(members.TimeoutAt(started, lastHeard)-w.sink.Now(), 1))
 }
 
-// applyList parses a list and passes the changes that it makes to the sink.
+// applyList parses a list and queues the changes that it makes at the sink.
 func (w *Watch) applyList(list []byte, use int, first bool) error {
 	news, err := config.ParseNews(list, w.zones)
 	w.mu.Lock()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -104,8 +104,11 @@
 		listener.Close()
 		return nil, err
 	}
-	in.shell.SetCatchUp(in.front.ReadArrived)
 	in.watch = discovery.New(cfg.Known, s.Zones, in.shell, in.front.SetReady, log)
+	in.shell.SetCatchUp(func() {
+		in.front.ReadArrived()
+		in.watch.ReadArrived()
+	})
 	in.watch.SetAddress(cfg.Discovery)
 	time.AfterFunc(discoveryTimeout, in.front.SetReady)
 	log.Info("initiator started", zap.String("name", cfg.Name), zap.String("listen", cfg.Listen), zap.Any("limits", cfg.Limits),
--- a/internal/platform/standin_test.go
+++ b/internal/platform/standin_test.go
@@ -188,6 +188,12 @@
 	d.watches = nil
 }
 
+func (d *standInDiscovery) watchCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.watches)
+}
+
 func (d *standInDiscovery) requestCount() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/platform/stop_test.go
+++ b/internal/platform/stop_test.go
@@ -153,3 +153,24 @@
 		t.Errorf("the target is given %q, %v; want at most what the client has left, %v", header, err, timeout-stopped)
 	}
 }
+
+// Guards against work for a target whose drain was told while the process stood still, before that work arrived.
+func TestDrainDuringStop(t *testing.T) {
+	for round := range 5 {
+		target := newTarget(t, "s-1", nil)
+		discovery := newDiscovery(t, listJSON(1, true, target.entry("in_service", 0)))
+		p := startProcess(t, discovery.listener.Addr().String(), settingsJSON)
+		client := p.dial()
+		p.mustServe(client, "look")
+		before := target.requestCount()
+		p.waitFor("the watch", func() bool { return discovery.watchCount() > 0 })
+		p.stop()
+		discovery.sendList(listJSON(2, false, target.entry("terminating", 0)))
+		io.WriteString(client.conn, putRequest(newID(), "look", "data"))
+		time.Sleep(20 * time.Millisecond) // a hold-up
+		p.resume()
+		if status, _ := client.readAnswer(); status != 503 || target.requestCount() != before {
+			t.Fatalf("round %d: status %d, %d requests reached the draining target", round, status, target.requestCount()-before)
+		}
+	}
+}
