Wait for the watch exactly, and process its lists in another goroutine

Change: the watch has its lists processed by the loop's timer goroutine (Loop.Schedule), so that the caller of ReadArrived is never the watch itself, and no exception is needed.

--- a/internal/drive/loop.go
+++ b/internal/drive/loop.go
@@ -74,6 +74,13 @@
 	l.RunPending()
 }
 
+// Schedule has pending steps run by the goroutine of a timer, for callers that a step may wait for.
+func (l *Loop[T]) Schedule() {
+	if l.intervalTimerSet.CompareAndSwap(false, true) {
+		l.intervalTimer.Reset(0)
+	}
+}
+
 // WithLock calls f while no step runs.
 func (l *Loop[T]) WithLock(f func(now logic.Micros)) {
 	l.mu.Lock()
--- a/internal/platform/core/shell.go
+++ b/internal/platform/core/shell.go
@@ -109,6 +109,9 @@
 	s.loop.Post(input{kind: inputAttemptEnded, attempt: a, result: res})
 }
 
+// Schedule has what is queued processed by another goroutine, for callers that the processing may wait for.
+func (s *Shell) Schedule() { s.loop.Schedule() }
+
 // UpdateTargets queues changed targets, and the list of all of them.
 func (s *Shell) UpdateTargets(changed []logic.Node, all []members.Target) {
 	s.loop.Enqueue(input{kind: inputNodes, changed: changed, endpoints: Endpoints(all)})
--- a/internal/platform/discovery/catchup.go
+++ b/internal/platform/discovery/catchup.go
@@ -23,11 +23,10 @@
 type watchReader struct {
 	conn *sock.Conn
 
-	mu         sync.Mutex
-	changed    *sync.Cond
-	waiting    bool // the reader waits for data
-	processing bool // what was read is queued at the sink, which processes it
-	ended      bool
+	mu      sync.Mutex
+	changed *sync.Cond
+	waiting bool // the reader waits for data
+	ended   bool
 }
 
 func newWatchReader(conn *sock.Conn) *watchReader {
@@ -54,15 +53,14 @@
 	r.changed.Broadcast()
 }
 
-// awaitRead returns when nothing that has arrived is unread, or maxCatchUp has passed. It does not wait while the sink
-// processes, as the sink may be the caller.
+// awaitRead returns when all that had arrived was read and applied, or maxCatchUp has passed.
 func (r *watchReader) awaitRead() {
 	expired := false
 	timer := time.AfterFunc(maxCatchUp, func() { r.set(&expired, true) })
 	defer timer.Stop()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for !expired && !r.ended && !r.processing && !(r.waiting && !r.conn.HasUnread()) {
+	for !expired && !r.ended && !(r.waiting && !r.conn.HasUnread()) {
 		r.changed.Wait()
 	}
 }
--- a/internal/platform/discovery/catchup_test.go
+++ b/internal/platform/discovery/catchup_test.go
@@ -32,7 +32,7 @@
 	return newWatchReader(conn), far
 }
 
-// awaitRead returns when what had arrived was read and applied. It does not wait for the sink, and ends with the watch.
+// awaitRead returns when what had arrived was read and applied, and at once after the end of the watch.
 func TestAwaitRead(t *testing.T) {
 	r, far := watchReaderPair(t)
 	var applied atomic.Int64
@@ -46,9 +46,6 @@
 				return
 			}
 			applied.Add(1)
-			r.set(&r.processing, true)
-			r.awaitRead() // as the sink does
-			r.set(&r.processing, false)
 		}
 	}()
 	for n := range int64(500) {
--- a/internal/platform/discovery/discovery.go
+++ b/internal/platform/discovery/discovery.go
@@ -31,9 +31,10 @@
 // Sink receives the targets.
 type Sink interface {
 	Now() logic.Micros
-	// UpdateTargets only queues what it is told; Process processes it.
+	// UpdateTargets only queues what it is told. Schedule has it processed by another goroutine, which may call
+	// [Watch.ReadArrived].
 	UpdateTargets(changed []logic.Node, all []members.Target)
-	Process()
+	Schedule()
 }
 
 // Watch keeps the sink informed of the targets that discovery lists.
@@ -62,7 +63,7 @@
 	follow, nodes := members.NewFollower(sink.Now(), known)
 	w.follow = follow
 	sink.UpdateTargets(nodes, follow.Targets())
-	sink.Process()
+	sink.Schedule()
 	return w
 }
 
@@ -165,9 +166,6 @@
 			if err := w.applyList(list, use, first); err != nil {
 				return err
 			}
-			reader.set(&reader.processing, true)
-			w.sink.Process()
-			reader.set(&reader.processing, false)
 			first = false
 		} else if whole {
 			continue // blanks before the whole list
@@ -253,6 +251,7 @@
 	}
 	if len(changed) > 0 {
 		w.sink.UpdateTargets(changed, w.follow.Targets())
+		w.sink.Schedule()
 	}
 	return nil
 }
--- a/internal/platform/discovery/discovery_test.go
+++ b/internal/platform/discovery/discovery_test.go
@@ -35,7 +35,7 @@
 	return 1000*sec + logic.Micros(time.Since(h.started).Microseconds())
 }
 func (h *recordingSink) UpdateTargets(_ []logic.Node, all []members.Target) { h.updates <- all }
-func (h *recordingSink) Process()                                           {}
+func (h *recordingSink) Schedule()                                          {}
 
 // agent is an emulated discovery agent: each request is answered by the next step of its script, and all further ones
 // by the last step.
