Take the time of a round before its last look at the connections

A stop between the look and the clock would make arrival times seem to be from before the round, and they would not be used. Suspected, not seen; the tests of the package pass three times with the race detector.

--- a/internal/platform/front/arrivals.go
+++ b/internal/platform/front/arrivals.go
@@ -108,11 +108,13 @@
 // runRound reads what the events report and all that arrives meanwhile, and passes the complete requests on. The lock is
 // held.
 func (a *arrivals) runRound(events []sock.Event) {
+	polled := a.clock.lastRound // all that had arrived by then is read in this round
 	for range maxPolls {
 		if len(events) == 0 {
 			break
 		}
 		a.handleEvents(events)
+		polled = time.Now()
 		events = a.poller.Poll()
 	}
 	a.handleEvents(events)
@@ -120,7 +122,7 @@
 	for len(a.complete) > 0 {
 		a.passOn(now)
 	}
-	a.clock.update(now)
+	a.clock.update(polled)
 }
 
 // handleEvents reads the connections that have data, and then accepts a new one if there is any: which connection has to
@@ -291,8 +293,8 @@
 // used only where it was not set since the data can have arrived, which is since the previous round.
 type arrivalClock struct{ lastRound time.Time }
 
-// update notes when all that had arrived was read.
-func (k *arrivalClock) update(now time.Time) { k.lastRound = now }
+// update notes that all that had arrived by the given time was read.
+func (k *arrivalClock) update(polled time.Time) { k.lastRound = polled }
 
 // waited returns how long ago data arrived that was read in the current round. It returns false if that is unknown.
 func (k *arrivalClock) waited(now, arrived time.Time) (logic.Micros, bool) {
