--- a/seats/seats.go
+++ b/seats/seats.go
@@ -47,8 +47,8 @@
 	instantRepeatWindow            = 20 * ms
 	minRepeatPause, maxRepeatPause = 20 * ms, 640 * ms
 	// A repeat waits for at most maxPauseShare of the time that its client waits, but never for less than minRepeatPause:
-	// a later refusal leaves the client no time for anything else.
-	maxPauseShare = 0.5
+	// the platform rates a refusal after half of a request's time as worse than one before.
+	maxPauseShare = 0.35
 )
 
 // State is the phase a client connection is in.
