--- a/review/stand-2/discovery.go
+++ b/review/stand-2/discovery.go
@@ -48,7 +48,7 @@
 	return nil
 }
 
-// slowDiscoveryCase starts an initiator while discovery takes 2 s to answer a call. A target that begins to drain must
+// slowDiscoveryCase starts an initiator while discovery takes 1.75 s to answer a call. A target that begins to drain must
 // get nothing new once the drain counts.
 func slowDiscoveryCase(r *run) error {
 	targets, err := r.fleet(4)
@@ -61,7 +61,7 @@
 	}
 	delay := time.Duration(0)
 	if r.trouble {
-		delay = 2 * time.Second
+		delay = 1750 * time.Millisecond
 	}
 	d, err := r.newDiscovery(list(41, true, "", entries...), 41, delay)
 	if err != nil {
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -33,7 +33,7 @@
 	cases := map[string]func(*run) error{
 		"cut": cutCase, "flush": flushCase, "lock": lockCase, "takeover": takeoverCase, "slow-discovery": slowDiscoveryCase,
 		// Courses of troubles in which no fault was seen; the report tells which.
-		"try-files": tryFiles, "try-disk": tryDisk, "try-platform": tryPlatform,
+		"try-mirror": tryMirrorAdded, "try-files": tryFiles, "try-disk": tryDisk, "try-platform": tryPlatform,
 	}
 	f := cases[os.Args[1]]
 	if f == nil || len(os.Args) != 4 {
