--- a/review/stand-2/discovery.go
+++ b/review/stand-2/discovery.go
@@ -48,36 +48,44 @@
 	return nil
 }
 
-// slowDiscoveryCase starts an initiator while discovery takes 1.75 s to answer a call. A target that begins to drain must
-// get nothing new once the drain counts.
-func slowDiscoveryCase(r *run) error {
+// tryLongList starts an initiator whose list is old while discovery's list of 3,200 targets comes indented. A target
+// that drains by that list must get nothing new once the drain counts.
+func tryLongList(r *run) error {
+	const fleetSize = 3200
 	targets, err := r.fleet(4)
 	if err != nil {
 		return err
 	}
-	var entries []entry
-	for _, t := range targets {
-		entries = append(entries, t.entry("in_service"))
+	var old, current []entry
+	for i := range fleetSize {
+		e := entry{fmt.Sprintf("s-5be2a%03x", i), fmt.Sprintf("127.%d.%d.%d:7070", 100+i/65536, 1+i/250, 1+i%250), i, "in_service"}
+		if i < len(targets) {
+			e = targets[i].entry("in_service")
+		}
+		old = append(old, e)
+		if i == 2 {
+			e.phase = "terminating"
+		}
+		current = append(current, e)
 	}
-	delay := time.Duration(0)
+	indent := ""
 	if r.trouble {
-		delay = 1750 * time.Millisecond
+		indent = "        "
 	}
-	d, err := r.newDiscovery(list(41, true, "", entries...), 41, delay)
+	whole := list(41, true, indent, current...)
+	r.log("the list of discovery has %d targets and %d bytes", fleetSize, len(whole))
+	known := time.Now()
+	d, err := r.newDiscovery(whole, 41, 0)
 	if err != nil {
 		return err
 	}
-	listen, err := r.startInitiator(d.listener.Addr().String(), list(41, true, "", entries...), len(targets))
+	listen, err := r.startInitiator(d.listener.Addr().String(), list(12, true, "", old...), fleetSize)
 	if err != nil {
 		return err
 	}
 	stop := make(chan struct{})
 	_, served, wait := r.load(listen, len(targets), 50*time.Millisecond, stop)
-	time.Sleep(10 * time.Second)
-	known := time.Now()
-	d.change(list(42, false, "", targets[2].entry("terminating")))
-	r.log("discovery has it: %s is terminating", targets[2].id)
-	time.Sleep(15 * time.Second)
+	time.Sleep(18 * time.Second)
 	close(stop)
 	wait()
 	return r.judgeDrain(targets[2], known, served.Load())
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -31,9 +31,9 @@
 		return
 	}
 	cases := map[string]func(*run) error{
-		"cut": cutCase, "flush": flushCase, "lock": lockCase, "takeover": takeoverCase, "slow-discovery": slowDiscoveryCase,
+		"cut": cutCase, "flush": flushCase, "lock": lockCase, "takeover": takeoverCase, "kill": killCase,
 		// Courses of troubles in which no fault was seen; the report tells which.
-		"try-mirror": tryMirrorAdded, "try-files": tryFiles, "try-disk": tryDisk, "try-platform": tryPlatform,
+		"try-mirror": tryMirrorAdded, "try-notify": tryNotify, "try-long-list": tryLongList, "try-files": tryFiles, "try-disk": tryDisk, "try-platform": tryPlatform,
 	}
 	f := cases[os.Args[1]]
 	if f == nil || len(os.Args) != 4 {
